--- /dev/null
+++ b/src/config/operators_file.h
@@ -0,0 +1,12 @@
+/* The operators' own settings: an XML file over the design's starting values. */
+#ifndef OW_CONFIG_OPERATORS_FILE_H
+#define OW_CONFIG_OPERATORS_FILE_H
+
+#include "core/settings.h"
+
+#include <stdbool.h>
+
+/* Changes what the file names; on a fault answers false and says the line and the name (g_free). */
+bool ow_operators_load(const char *path, struct ow_rules *rules, char **fault);
+
+#endif
--- /dev/null
+++ b/src/core/book.c
@@ -0,0 +1,166 @@
+/* The machine book: what is known of every machine. */
+#include "core/lead_state.h"
+
+#include <string.h>
+
+struct ow_machine *ow_book_find(const struct ow_lead *lead, const char *name)
+{
+    return g_hash_table_lookup(lead->machines_by_name, name);
+}
+
+struct ow_machine *ow_book_get(struct ow_lead *lead, const char *name)
+{
+    struct ow_machine *m = ow_book_find(lead, name);
+    if (m != NULL)
+        return m;
+    m = g_new0(struct ow_machine, 1);
+    m->name = g_strdup(name);
+    m->type = m->zone = OW_NO_NAME;
+    m->slowness = 1;
+    m->rented_at = m->idle_since = lead->node->now;
+    m->attempts = g_ptr_array_new();
+    m->direct_starts = g_array_new(FALSE, FALSE, sizeof(struct ow_floating));
+    m->floating = g_array_new(FALSE, FALSE, sizeof(struct ow_floating));
+    m->images = g_array_new(FALSE, FALSE, sizeof(struct ow_image_copy));
+    g_hash_table_insert(lead->machines_by_name, m->name, m);
+    g_ptr_array_add(lead->machines, m);
+    return m;
+}
+
+void ow_machine_free(void *machine)
+{
+    struct ow_machine *m = machine;
+    g_free(m->name);
+    g_free(m->addr);
+    g_ptr_array_free(m->attempts, TRUE);
+    g_array_free(m->direct_starts, TRUE);
+    g_array_free(m->floating, TRUE);
+    g_array_free(m->images, TRUE);
+    g_free(m);
+}
+
+void ow_book_describe(struct ow_lead *lead, struct ow_machine *m, const char *addr, const char *type,
+                      const char *zone, bool spot)
+{
+    if (addr != NULL && *addr != '\0' && g_strcmp0(addr, m->addr) != 0) {
+        g_free(m->addr);
+        m->addr = g_strdup(addr);
+    }
+    m->type = ow_names_add(lead->node->names.types, type);
+    m->zone = ow_names_add(lead->node->names.zones, zone);
+    m->spot = spot;
+}
+
+void ow_book_remove(struct ow_lead *lead, struct ow_machine *m, const char *proof)
+{
+    while (m->attempts->len > 0)
+        ow_attempt_end(lead, g_ptr_array_index(m->attempts, 0), OW_CAUSE_NONE, proof);
+    for (guint i = 0; i < lead->runs->len; i++) {
+        struct ow_run *run = g_ptr_array_index(lead->runs, i);
+        g_hash_table_remove(run->bad_machines, m);
+        for (guint h = run->reservation != NULL ? run->reservation->holds->len : 0; h > 0; h--)
+            if (g_array_index(run->reservation->holds, struct ow_hold, h - 1).machine == m)
+                g_array_remove_index_fast(run->reservation->holds, h - 1);
+    }
+    g_hash_table_remove(lead->machines_by_name, m->name);
+    g_ptr_array_remove_fast(lead->machines, m);
+    lead->dirty = true;
+}
+
+bool ow_book_usable(const struct ow_lead *lead, const struct ow_machine *m)
+{
+    double now = lead->node->now;
+    /* No launch before its report under our own token, nor on one that has fallen silent,
+       is about to be taken, or is being returned. */
+    return m->fenced && m->session > m->dead_session && ow_machine_spec(lead, m) != NULL && m->addr != NULL &&
+           now - m->seen_at < 2.5 * lead->node->settings->report_s && m->lost_at == 0 && !m->deleting &&
+           !m->draining && now >= m->quarantine_until;
+}
+
+bool ow_book_is_floating(const struct ow_machine *m, const struct ow_job *job, uint32_t task, uint64_t number)
+{
+    const GArray *lists[] = {m->direct_starts, m->floating};
+    for (int l = 0; l < 2; l++) {
+        for (guint i = 0; i < lists[l]->len; i++) {
+            const struct ow_floating *f = &g_array_index(lists[l], struct ow_floating, i);
+            if (f->job == job && f->task == task && f->number == number)
+                return true;
+        }
+    }
+    return false;
+}
+
+struct ow_image_copy *ow_book_image(const struct ow_machine *m, int image)
+{
+    for (guint i = 0; i < m->images->len; i++) {
+        struct ow_image_copy *copy = &g_array_index(m->images, struct ow_image_copy, i);
+        if (copy->image == image)
+            return copy;
+    }
+    return NULL;
+}
+
+static bool image_in_use(const struct ow_machine *m, int image)
+{
+    for (guint i = 0; i < m->attempts->len; i++) {
+        const struct ow_attempt *at = g_ptr_array_index(m->attempts, i);
+        if (at->job->spec->image == image)
+            return true;
+    }
+    return false;
+}
+
+/* A guess at what the machine still has: it caches the most recently used images. */
+static void forget_old_images(const struct ow_lead *lead, struct ow_machine *m)
+{
+    const struct ow_machine_type *type = ow_machine_spec(lead, m);
+    double limit = type != NULL ? type->cache_gb : 0;
+    for (;;) {
+        double sum = 0;
+        guint oldest = m->images->len;
+        for (guint i = 0; i < m->images->len; i++) {
+            const struct ow_image_copy *copy = &g_array_index(m->images, struct ow_image_copy, i);
+            sum += copy->gb;
+            if (image_in_use(m, copy->image))
+                continue;
+            if (oldest == m->images->len ||
+                copy->used_at < g_array_index(m->images, struct ow_image_copy, oldest).used_at)
+                oldest = i;
+        }
+        if (sum <= limit || oldest == m->images->len)
+            return;
+        g_array_remove_index_fast(m->images, oldest);
+    }
+}
+
+void ow_book_image_use(struct ow_lead *lead, struct ow_machine *m, const struct ow_spec *spec, bool present)
+{
+    struct ow_image_copy *copy = ow_book_image(m, spec->image);
+    if (copy == NULL) {
+        double ready_at = lead->node->now + ow_book_fetch_s(lead, m, spec);
+        struct ow_image_copy fresh = {spec->image, spec->submission->image_gb, lead->node->now, present, ready_at};
+        g_array_append_val(m->images, fresh);
+        forget_old_images(lead, m);
+        return;
+    }
+    copy->used_at = lead->node->now;
+    copy->present = copy->present || present;
+}
+
+double ow_book_fetch_s(const struct ow_lead *lead, const struct ow_machine *m, const struct ow_spec *spec)
+{
+    const struct ow_machine_type *type = ow_machine_spec(lead, m);
+    const struct ow_image_copy *copy = ow_book_image(m, spec->image);
+    if (copy != NULL && copy->present)
+        return 0;
+    if (copy != NULL)
+        return MAX(0.5, copy->ready_at - lead->node->now);
+    /* Fetches under way share the machine's rate. */
+    double gb = spec->submission->image_gb;
+    for (guint i = 0; i < m->images->len; i++) {
+        const struct ow_image_copy *other = &g_array_index(m->images, struct ow_image_copy, i);
+        if (!other->present && other->ready_at > lead->node->now)
+            gb += MIN(other->gb, (other->ready_at - lead->node->now) * (type != NULL ? type->fetch_gb_per_s : 0));
+    }
+    return type != NULL && type->fetch_gb_per_s > 0 ? gb / type->fetch_gb_per_s : 60;
+}
--- /dev/null
+++ b/src/core/calls.c
@@ -0,0 +1,68 @@
+#include "core/calls.h"
+
+#include <glib.h>
+
+struct call {
+    uint64_t tag;
+    ow_call_fn fn;
+    void *owner, *data;
+    void (*free_data)(void *);
+};
+
+struct ow_calls {
+    GHashTable *by_tag;
+    uint64_t last_tag;
+};
+
+static void call_free(void *item)
+{
+    struct call *call = item;
+    if (call->free_data != NULL)
+        call->free_data(call->data);
+    g_free(call);
+}
+
+struct ow_calls *ow_calls_new(void)
+{
+    struct ow_calls *calls = g_new0(struct ow_calls, 1);
+    calls->by_tag = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, call_free);
+    return calls;
+}
+
+void ow_calls_free(struct ow_calls *calls)
+{
+    if (calls == NULL)
+        return;
+    g_hash_table_destroy(calls->by_tag);
+    g_free(calls);
+}
+
+uint64_t ow_calls_add(struct ow_calls *calls, ow_call_fn fn, void *owner, void *data, void (*free_data)(void *))
+{
+    struct call *call = g_new0(struct call, 1);
+    *call = (struct call){++calls->last_tag, fn, owner, data, free_data};
+    g_hash_table_insert(calls->by_tag, &call->tag, call);
+    return call->tag;
+}
+
+void ow_calls_answer(struct ow_calls *calls, uint64_t tag, const struct ow_command *answer)
+{
+    struct call *call = g_hash_table_lookup(calls->by_tag, &tag);
+    if (call == NULL)
+        return;
+    /* Taken out first: the function may end its owner and with it all of the owner's calls. */
+    g_hash_table_steal(calls->by_tag, &tag);
+    call->fn(call->owner, call->data, answer);
+    call_free(call);
+}
+
+static gboolean owned_by(gpointer key, gpointer value, gpointer owner)
+{
+    (void)key;
+    return ((struct call *)value)->owner == owner;
+}
+
+void ow_calls_forget(struct ow_calls *calls, const void *owner)
+{
+    g_hash_table_foreach_remove(calls->by_tag, owned_by, (gpointer)owner);
+}
--- /dev/null
+++ b/src/core/care.c
@@ -0,0 +1,120 @@
+/* Machines that are silent, sick or about to be taken, and attempts that must be gone by a certain time. */
+#include "core/lead_state.h"
+
+static const double DRIFT = 0.002, MARGIN_S = 1.5;
+enum { ERRORS_TO_QUARANTINE = 2, RUN_FAILURES = 3 };
+
+/* Proof by time: a worker ends its tasks when lease_s has passed since it sent the last report that was
+   answered. Only answers of ours count once it has seen our token: no older one is accepted. */
+static void prove_by_lease(struct ow_lead *lead, struct ow_machine *m)
+{
+    double lease = lead->node->settings->lease_s * (1 + DRIFT) + MARGIN_S;
+    double last = MAX(m->answered_at, m->fenced_at);
+    if (!m->fenced || m->session <= m->dead_session || lead->node->now < last + lease)
+        return;
+    g_info("machine %s: session %" G_GUINT64_FORMAT " has run out unanswered", m->name, m->session);
+    m->dead_session = m->session;
+    while (m->attempts->len > 0)
+        ow_attempt_end(lead, g_ptr_array_index(m->attempts, 0), OW_CAUSE_NONE, "its machine's lease has run out");
+}
+
+static bool overdue(const struct ow_lead *lead, const struct ow_machine *m)
+{
+    const struct ow_machine_type *type = ow_machine_spec(lead, m);
+    double boot = type != NULL ? type->boot_s : 60;
+    return m->seen_at == 0 && lead->node->now - m->rented_at > 3 * boot + 20;
+}
+
+/* A machine nobody hears from: deleting it is proof at once, and ends the rent. */
+static void pursue_silent(struct ow_lead *lead, struct ow_machine *m)
+{
+    double now = lead->node->now;
+    double since = MAX(MAX(m->seen_at, m->reported_at), lead->ready_at);
+    if (m->listed == OW_LISTED_FAILED)
+        ow_rent_delete(lead, m, "it has failed");
+    else if (m->lost_at > 0 && now > m->lost_at && now - since > 3)
+        ow_rent_delete(lead, m, "it was taken back");
+    else if (m->seen_at == 0 && m->listed == OW_LISTED_NOT && m->attempts->len > 0 && now - since > 25)
+        ow_rent_delete(lead, m, "its tasks are recorded, but nothing is heard or known of it");
+    else if (overdue(lead, m) && now - lead->ready_at > 30)
+        ow_rent_delete(lead, m, "it does not come up");
+    else if (m->seen_at != 0 && now - since > 3 * lead->node->settings->lease_s)
+        ow_rent_delete(lead, m, "it has been silent for too long");
+}
+
+/* Rule 7: what could still run of a cancelled job is ended by returning its machine, if nothing else works. */
+static void pursue_cancelled(struct ow_lead *lead, struct ow_machine *m)
+{
+    double now = lead->node->now;
+    for (guint i = 0; i < m->attempts->len; i++) {
+        const struct ow_attempt *at = g_ptr_array_index(m->attempts, i);
+        if (!at->stop || at->job->stance != OW_CANCELLED)
+            continue;
+        double waited = now - at->stop_at;
+        if (waited > 1 && !m->direct_busy)
+            m->direct_wanted = true;
+        if (waited > 0.5 * lead->node->settings->cancel_s) {
+            ow_rent_delete(lead, m, "a cancelled task can't be ended otherwise");
+            return;
+        }
+    }
+}
+
+static void drain_noticed(struct ow_lead *lead, struct ow_machine *m)
+{
+    double left = m->lost_at - lead->node->now;
+    for (guint i = m->attempts->len; i > 0; i--) {
+        if (i > m->attempts->len)
+            continue;
+        struct ow_attempt *at = g_ptr_array_index(m->attempts, i - 1);
+        const struct ow_submission *s = at->job->spec->submission;
+        if (s->checkpoint_s <= 0 || left < s->save_s + 1 || at->stop)
+            continue;
+        double grace = MIN(left, s->save_s + 2);
+        if (s->gang)
+            ow_run_stop(lead, at->job->run, grace, "its machine is taken back");
+        else
+            ow_attempt_stop(lead, at, grace, "its machine is taken back");
+    }
+}
+
+void ow_care_tick(struct ow_lead *lead)
+{
+    for (guint i = lead->machines->len; i > 0; i--) {
+        if (i > lead->machines->len)
+            continue;
+        struct ow_machine *m = g_ptr_array_index(lead->machines, i - 1);
+        prove_by_lease(lead, m);
+        if (m->lost_at > 0)
+            drain_noticed(lead, m);
+        /* Recorded tasks on a machine not yet fenced, or orders that found no ear: try its own address. */
+        if (!m->fenced && m->addr != NULL && m->listed != OW_LISTED_BOOTING)
+            m->direct_wanted = true;
+        pursue_cancelled(lead, m);
+        pursue_silent(lead, m);
+    }
+}
+
+void ow_care_error(struct ow_lead *lead, struct ow_machine *m, struct ow_run *run)
+{
+    double now = lead->node->now;
+    g_hash_table_add(run->bad_machines, m);
+    run->failures = MIN(run->failures + 1, 1000);
+    guint bad = g_hash_table_size(run->bad_machines);
+    if (bad >= RUN_FAILURES) {
+        /* It fails wherever it goes: the job is at fault, not the machines. */
+        double pause = MIN(60, 5 << MIN(run->failures / 4, 4));
+        if (run->ready_at < now + 1)
+            g_info("job %s fails on %u machines: paused for %.0f s", run->job->id, bad, pause);
+        run->ready_at = MAX(run->ready_at, now + pause);
+        g_hash_table_remove_all(run->bad_machines);
+        return;
+    }
+    if (++m->errors < ERRORS_TO_QUARANTINE || now < m->quarantine_until)
+        return;
+    double pause = MIN(240, 30 << MIN(m->quarantines, 3));
+    m->quarantines++;
+    m->quarantine_until = now + pause;
+    m->errors = ERRORS_TO_QUARANTINE - 1; /* one more failure after it is enough */
+    g_info("machine %s fails tasks: nothing is put on it for %.0f s", m->name, pause);
+}
--- /dev/null
+++ b/src/core/core.c
@@ -0,0 +1,374 @@
+#include "core/core.h"
+
+#include "core/door.h"
+#include "core/election.h"
+#include "core/lead.h"
+#include "core/node.h"
+#include "core/records.h"
+#include "core/replica.h"
+#include "wire/cloud_json.h"
+
+#include <string.h>
+
+static const double HELLO_S = 1, TYPES_RETRY_S = 1.5, STATE_BAD_S = 2, PEER_WORD_S = 4, BUSY_PAUSE_S = 0.05;
+enum { QUEUES = OW_COMMAND_SUBMIT + 1, SUBMITS_MOST = 400 };
+
+struct ow_core {
+    struct ow_node node;
+    GQueue queues[QUEUES];
+    bool types_busy;
+};
+
+/* ---- what the parts call (node.h) ---- */
+
+struct ow_effect *ow_effect_new(enum ow_effect_kind kind, uint64_t request)
+{
+    struct ow_effect *e = g_new0(struct ow_effect, 1);
+    e->kind = kind;
+    e->request = request;
+    e->done = e->running = OW_UNCOUNTED;
+    return e;
+}
+
+void ow_node_emit(struct ow_node *node, struct ow_effect *effect)
+{
+    g_ptr_array_add(node->effects, effect);
+}
+
+void ow_node_refuse(struct ow_node *node, uint64_t request, int status, const char *text, int retry_after_s)
+{
+    struct ow_effect *e = ow_effect_new(OW_EFFECT_REFUSE, request);
+    e->status = status;
+    e->text = g_strdup(text);
+    e->retry_after_s = retry_after_s;
+    ow_node_emit(node, e);
+}
+
+static void ignore_answer(void *owner, void *data, const struct ow_command *answer)
+{
+    (void)owner;
+    (void)data;
+    (void)answer;
+}
+
+void ow_node_store(struct ow_node *node, struct ow_store_request *request, ow_call_fn fn, void *owner, void *data,
+                   void (*free_data)(void *))
+{
+    request->tag = ow_calls_add(node->calls, fn != NULL ? fn : ignore_answer, owner, data, free_data);
+    struct ow_effect *e = ow_effect_new(OW_EFFECT_STORE, request->tag);
+    e->store = request;
+    ow_node_emit(node, e);
+}
+
+void ow_node_cloud(struct ow_node *node, struct ow_cloud_request *request, ow_call_fn fn, void *owner, void *data,
+                   void (*free_data)(void *))
+{
+    request->tag = ow_calls_add(node->calls, fn, owner, data, free_data);
+    struct ow_effect *e = ow_effect_new(OW_EFFECT_CLOUD, request->tag);
+    e->cloud = request;
+    ow_node_emit(node, e);
+}
+
+void ow_node_tell_peers(struct ow_node *node, struct ow_peer_message *message)
+{
+    struct ow_effect *e = ow_effect_new(OW_EFFECT_PEER, 0);
+    e->peer = message;
+    ow_node_emit(node, e);
+}
+
+void ow_node_nudge(struct ow_node *node, uint64_t revision)
+{
+    if (node->lead != NULL)
+        return; /* a scheduling pass sees it anyway */
+    struct ow_peer_message *message = ow_peer_message_new(OW_PEER_NUDGE);
+    message->number = revision;
+    ow_node_tell_peers(node, message);
+}
+
+static struct ow_machine_type *copy_type(const struct ow_machine_type *type)
+{
+    struct ow_machine_type *copy = g_new(struct ow_machine_type, 1);
+    *copy = *type;
+    copy->name = g_strdup(type->name);
+    copy->zones = g_strdupv(type->zones);
+    return copy;
+}
+
+static void free_type(struct ow_machine_type *type)
+{
+    if (type != NULL)
+        ow_machine_type_clear(type);
+    g_free(type);
+}
+
+void ow_node_set_types(struct ow_node *node, const GArray *types)
+{
+    for (guint i = 0; i < types->len; i++) {
+        const struct ow_machine_type *type = &g_array_index(types, struct ow_machine_type, i);
+        int index = ow_names_add(node->names.types, type->name);
+        if (index >= OW_MAX_TYPES)
+            continue;
+        free_type(node->types[index]);
+        node->types[index] = copy_type(type);
+        node->types_known = true;
+    }
+}
+
+/* ---- life ---- */
+
+struct ow_core *ow_core_new(const struct ow_settings *settings, const struct ow_rules *rules, uint64_t nonce)
+{
+    struct ow_core *core = g_new0(struct ow_core, 1);
+    struct ow_node *node = &core->node;
+    node->settings = settings;
+    node->rules = rules;
+    node->nonce = nonce;
+    node->calls = ow_calls_new();
+    node->names = (struct ow_name_tables){ow_names_new(), ow_names_new(), ow_names_new(), ow_names_new(),
+                                          ow_names_new()};
+    node->jobs = ow_jobs_new(&node->names);
+    node->replica = ow_replica_new(node);
+    node->election = ow_election_new(node);
+    node->peers_ok = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    node->machine_hints = ow_peer_message_new(OW_PEER_MACHINES)->machines;
+    node->effects = g_ptr_array_new_with_free_func(ow_effect_free);
+    for (int i = 0; i < QUEUES; i++)
+        g_queue_init(&core->queues[i]);
+    return core;
+}
+
+void ow_core_free(struct ow_core *core)
+{
+    struct ow_node *node = &core->node;
+    if (node->lead != NULL)
+        ow_lead_free(node->lead);
+    for (int i = 0; i < QUEUES; i++)
+        g_queue_clear_full(&core->queues[i], ow_command_free);
+    ow_calls_free(node->calls);
+    ow_replica_free(node->replica);
+    ow_election_free(node->election);
+    ow_jobs_free(node->jobs);
+    for (int i = 0; i < OW_MAX_TYPES; i++)
+        free_type(node->types[i]);
+    ow_names_free(node->names.classes);
+    ow_names_free(node->names.teams);
+    ow_names_free(node->names.images);
+    ow_names_free(node->names.zones);
+    ow_names_free(node->names.types);
+    g_hash_table_destroy(node->peers_ok);
+    g_array_free(node->machine_hints, TRUE);
+    g_ptr_array_free(node->effects, TRUE);
+    g_free(core);
+}
+
+void ow_core_push(struct ow_core *core, struct ow_command *command)
+{
+    g_queue_push_tail(&core->queues[command->kind], command);
+}
+
+/* ---- commands ---- */
+
+static void take_report(struct ow_node *node, const struct ow_command *c)
+{
+    /* A worker that has seen a higher token obeys another coordinator: we must not act for it. */
+    ow_election_saw_token(node->election, c->report->token, NULL);
+    if (node->lead != NULL) {
+        ow_lead_report(node->lead, c->request, c->report);
+        return;
+    }
+    struct ow_effect *e = ow_effect_new(OW_EFFECT_MISDIRECT, c->request);
+    e->text = g_strdup(ow_election_leader(node->election));
+    ow_node_emit(node, e);
+}
+
+static void take_store(struct ow_node *node, const struct ow_command *c)
+{
+    int status = c->store.status;
+    if (status == 0 || status == 503) {
+        if (node->state_bad_since == 0)
+            node->state_bad_since = node->now;
+    } else {
+        node->state_ok_at = node->now;
+        node->state_bad_since = 0;
+    }
+    ow_calls_answer(node->calls, c->request, c);
+}
+
+static void take_summary(struct ow_node *node, const struct ow_peer_message *message)
+{
+    if (node->lead != NULL)
+        return;
+    for (guint i = 0; i < message->jobs->len; i++) {
+        const struct ow_peer_job *seen = &g_array_index(message->jobs, struct ow_peer_job, i);
+        struct ow_job *job = ow_jobs_find(node->jobs, seen->id);
+        if (job == NULL || ow_job_over(job))
+            continue;
+        job->done = seen->done;
+        job->running = seen->running;
+        ow_job_set_reason(job, seen->reason != NULL && *seen->reason != '\0' ? seen->reason : NULL);
+    }
+}
+
+static void take_peer(struct ow_node *node, struct ow_command *c)
+{
+    struct ow_peer_message *message = c->peer;
+    switch (message->kind) {
+    case OW_PEER_HELLO:
+        if (message->number > 0)
+            ow_election_saw_token(node->election, message->number, message->leads ? message->node : NULL);
+        if (message->state_ok && message->node != NULL) {
+            double *at = g_new(double, 1);
+            *at = node->now;
+            g_hash_table_replace(node->peers_ok, g_strdup(message->node), at);
+        }
+        break;
+    case OW_PEER_SUMMARY:
+        take_summary(node, message);
+        break;
+    case OW_PEER_NUDGE:
+        ow_replica_hint(node->replica, message->number);
+        break;
+    case OW_PEER_MACHINES:
+        g_array_free(node->machine_hints, TRUE);
+        node->machine_hints = g_steal_pointer(&message->machines);
+        break;
+    }
+}
+
+static void take(struct ow_node *node, struct ow_command *c)
+{
+    switch (c->kind) {
+    case OW_COMMAND_REPORT:
+        take_report(node, c);
+        break;
+    case OW_COMMAND_DIRECT_REPLY:
+    case OW_COMMAND_CLOUD:
+        ow_calls_answer(node->calls, c->request, c);
+        break;
+    case OW_COMMAND_STORE:
+        take_store(node, c);
+        break;
+    case OW_COMMAND_PEER:
+        take_peer(node, c);
+        break;
+    case OW_COMMAND_WITHDRAW:
+        ow_door_withdraw(node, c->request, c->id);
+        break;
+    case OW_COMMAND_POLL:
+        ow_door_poll(node, c->request, c->id);
+        break;
+    case OW_COMMAND_TEAMS:
+        ow_door_teams(node, c->request);
+        break;
+    case OW_COMMAND_SUBMIT:
+        ow_door_submit(node, c->request, g_steal_pointer(&c->submission));
+        break;
+    }
+}
+
+/* ---- what is due ---- */
+
+static void say_hello(struct ow_node *node)
+{
+    if (node->now < node->hello_at)
+        return;
+    node->hello_at = node->now + HELLO_S;
+    struct ow_peer_message *message = ow_peer_message_new(OW_PEER_HELLO);
+    message->node = g_strdup(node->settings->node);
+    message->number = ow_election_token(node->election);
+    message->leads = message->number > 0;
+    message->state_ok = node->state_ok_at > 0 && node->state_bad_since == 0;
+    ow_node_tell_peers(node, message);
+}
+
+static void on_types(void *owner, void *data, const struct ow_command *answer)
+{
+    struct ow_core *core = owner;
+    (void)data;
+    core->types_busy = false;
+    if (answer->cloud.status == 200 && answer->cloud.types != NULL)
+        ow_node_set_types(&core->node, answer->cloud.types);
+}
+
+static void on_stored_types(void *owner, void *data, const struct ow_command *answer)
+{
+    struct ow_core *core = owner;
+    (void)data;
+    if (answer->store.status != 200 || core->node.types_known)
+        return;
+    GArray *types = wire_types_from(g_array_index(answer->store.items, struct ow_store_item, 0).value);
+    if (types == NULL)
+        return;
+    ow_node_set_types(&core->node, types);
+    g_array_free(types, TRUE);
+}
+
+/* Until the machine types are known nothing can be accepted. The cloud may be down: a coordinator has kept
+   what it saw. */
+static void ask_types(struct ow_core *core)
+{
+    struct ow_node *node = &core->node;
+    if (node->types_known || node->lead != NULL || core->types_busy || node->now < node->types_asked_at + TYPES_RETRY_S)
+        return;
+    struct ow_cloud_request *request = g_new0(struct ow_cloud_request, 1);
+    request->op = OW_CLOUD_TYPES;
+    node->types_asked_at = node->now;
+    core->types_busy = true;
+    ow_node_cloud(node, request, on_types, core, NULL, NULL);
+    ow_node_store(node, ow_store_request_new(OW_STORE_GET, OW_KEY_TYPES), on_stored_types, core, NULL, NULL);
+}
+
+GPtrArray *ow_core_run(struct ow_core *core, double now)
+{
+    struct ow_node *node = &core->node;
+    node->now = now;
+    for (int i = 0; i < QUEUES; i++) {
+        struct ow_command *c;
+        while ((c = g_queue_pop_head(&core->queues[i])) != NULL) {
+            take(node, c);
+            ow_command_free(c);
+        }
+    }
+    ow_election_tick(node->election);
+    if (node->lead != NULL)
+        ow_lead_tick(node->lead);
+    ow_replica_tick(node->replica);
+    ask_types(core);
+    say_hello(node);
+    GPtrArray *effects = node->effects;
+    node->effects = g_ptr_array_new_with_free_func(ow_effect_free);
+    return effects;
+}
+
+double ow_core_pause(const struct ow_core *core)
+{
+    (void)core;
+    return BUSY_PAUSE_S;
+}
+
+static bool peer_state_ok(const struct ow_node *node)
+{
+    GHashTableIter iter;
+    void *at;
+    g_hash_table_iter_init(&iter, node->peers_ok);
+    while (g_hash_table_iter_next(&iter, NULL, &at))
+        if (node->now - *(double *)at < PEER_WORD_S)
+            return true;
+    return false;
+}
+
+bool ow_core_healthy(const struct ow_core *core)
+{
+    const struct ow_node *node = &core->node;
+    if (!ow_replica_loaded(node->replica) || !node->types_known)
+        return false;
+    /* In an outage of the state service every controller is as good as the next; if it fails for this one
+       alone, users are better off elsewhere. */
+    bool blind = node->state_bad_since > 0 && node->now - node->state_bad_since > STATE_BAD_S;
+    return !blind || !peer_state_ok(node);
+}
+
+uint64_t ow_core_token(const struct ow_core *core)
+{
+    return ow_election_token(core->node.election);
+}
--- /dev/null
+++ b/src/core/door.c
@@ -0,0 +1,287 @@
+#include "core/door.h"
+
+#include "core/node.h"
+#include "core/records.h"
+#include "core/replica.h"
+#include "wire/records_json.h"
+
+#include <string.h>
+
+enum { RETRY_S = 1 };
+
+/* One request of a user that waits for the state service. */
+struct visit {
+    uint64_t request;
+    char id[OW_ID_MAX + 1];
+    const char *never; /* why the job can never run, if that is so */
+};
+
+static struct visit *visit_new(uint64_t request, const char *id)
+{
+    struct visit *v = g_new0(struct visit, 1);
+    v->request = request;
+    g_strlcpy(v->id, id, sizeof v->id);
+    return v;
+}
+
+static void refuse_busy(struct ow_node *node, uint64_t request, const char *text)
+{
+    ow_node_refuse(node, request, 503, text, RETRY_S);
+}
+
+static void answer_job(struct ow_node *node, uint64_t request, int status, const struct ow_job *job)
+{
+    struct ow_effect *e = ow_effect_new(OW_EFFECT_JOB, request);
+    e->status = status;
+    g_strlcpy(e->id, job->id, sizeof e->id);
+    bool over = ow_job_over(job);
+    e->stance = !over && job->running > 0 ? OW_ACTIVE : job->stance;
+    e->done = over ? OW_UNCOUNTED : job->done;
+    e->running = over ? OW_UNCOUNTED : job->running;
+    e->text = g_strdup(job->reason);
+    ow_node_emit(node, e);
+}
+
+static char *job_key(const char *id)
+{
+    return g_strconcat(OW_KEY_JOBS, id, NULL);
+}
+
+/* ---- polls, and submissions of known jobs ---- */
+
+static void answer_fresh(struct ow_node *node, void *data, bool ok)
+{
+    const struct visit *v = data;
+    const struct ow_job *job = ow_jobs_find(node->jobs, v->id);
+    if (!ok)
+        refuse_busy(node, v->request, "the state service does not answer");
+    else if (job == NULL)
+        ow_node_refuse(node, v->request, 404, "no such job", 0);
+    else
+        answer_job(node, v->request, 200, job);
+}
+
+void ow_door_poll(struct ow_node *node, uint64_t request, const char *id)
+{
+    const struct ow_job *job = ow_jobs_find(node->jobs, id);
+    /* What is over stays over. Anything else, 404 too, may have been overtaken at another node,
+       and is answered only from a read that began after the request came. */
+    if (job != NULL && ow_job_over(job))
+        answer_job(node, request, 200, job);
+    else
+        ow_replica_refresh(node->replica, answer_fresh, visit_new(request, id));
+}
+
+/* ---- teams ---- */
+
+static void add_amounts(struct ow_amounts *sum, const struct ow_amounts *need, double times)
+{
+    sum->cpus += times * need->cpus;
+    sum->gpus += times * need->gpus;
+    sum->memory_gb += times * need->memory_gb;
+}
+
+static void add_job_to_team(struct ow_team_view *view, const struct ow_job *job)
+{
+    const struct ow_submission *s = job->spec->submission;
+    if (ow_job_over(job) || strcmp(s->team, view->name) != 0)
+        return;
+    int running = MAX(job->running, 0), waiting = MAX((int)s->tasks - MAX(job->done, 0) - running, 0);
+    view->jobs++;
+    view->waiting_jobs += waiting > 0 ? 1 : 0;
+    add_amounts(&view->running, &s->need, running);
+    add_amounts(&view->waiting, &s->need, waiting);
+}
+
+void ow_door_teams(struct ow_node *node, uint64_t request)
+{
+    struct ow_effect *e = ow_effect_new(OW_EFFECT_TEAMS, request);
+    const GPtrArray *open = ow_jobs_open(node->jobs);
+    e->status = 200;
+    e->teams = g_array_new(FALSE, TRUE, sizeof(struct ow_team_view));
+    for (guint i = 0; i < node->settings->teams->len; i++) {
+        struct ow_team_view view = {.name = g_array_index(node->settings->teams, struct ow_team_settings, i).name};
+        for (guint k = 0; k < open->len; k++)
+            add_job_to_team(&view, g_ptr_array_index(open, k));
+        g_array_append_val(e->teams, view);
+    }
+    ow_node_emit(node, e);
+}
+
+/* ---- submissions ---- */
+
+static bool fits(const struct ow_amounts *need, const struct ow_amounts *size)
+{
+    return need->cpus <= size->cpus && need->gpus <= size->gpus && need->memory_gb <= size->memory_gb;
+}
+
+static bool type_allowed(const struct ow_submission *s, const struct ow_machine_type *type)
+{
+    if (s->types != NULL && !g_strv_contains((const char *const *)s->types, type->name))
+        return false;
+    if (s->zone != NULL && type->zones != NULL && !g_strv_contains((const char *const *)type->zones, s->zone))
+        return false;
+    return fits(&s->need, &type->size);
+}
+
+static bool fits_some_type(const struct ow_node *node, const struct ow_submission *s)
+{
+    for (int i = 0; i < OW_MAX_TYPES; i++)
+        if (node->types[i] != NULL && type_allowed(s, node->types[i]))
+            return true;
+    return false;
+}
+
+/* NULL when the job can run some day; else why it never can. */
+static const char *never_runs(const struct ow_node *node, const struct ow_submission *s)
+{
+    const struct ow_team_settings *team = NULL;
+    for (guint i = 0; i < node->settings->teams->len && team == NULL; i++) {
+        const struct ow_team_settings *t = &g_array_index(node->settings->teams, struct ow_team_settings, i);
+        team = strcmp(t->name, s->team) == 0 ? t : NULL;
+    }
+    if (team == NULL)
+        return "unknown team";
+    if (!fits_some_type(node, s))
+        return "a task fits no allowed machine type";
+    double at_once = s->gang ? s->tasks : 1;
+    if ((team->cpus_max > 0 && s->need.cpus * at_once > team->cpus_max) ||
+        (team->gpus_max > 0 && s->need.gpus * at_once > team->gpus_max))
+        return "over the team's limit";
+    return NULL;
+}
+
+struct submit_call {
+    struct ow_submission *submission;
+    uint64_t request;
+};
+
+static void submit_call_free(void *data)
+{
+    struct submit_call *call = data;
+    ow_submission_free(call->submission);
+    g_free(call);
+}
+
+static void accept_job(struct ow_node *node, uint64_t request, uint64_t revision, struct ow_submission *s)
+{
+    char id[OW_ID_MAX + 1];
+    g_strlcpy(id, s->id, sizeof id);
+    g_info("job %s accepted: class %s, team %s, %u tasks", id, s->class_name, s->team, s->tasks);
+    ow_jobs_apply(node->jobs, id, revision, OW_QUEUED, s);
+    answer_job(node, request, 201, ow_jobs_find(node->jobs, id));
+    ow_node_nudge(node, revision);
+}
+
+static void on_submit_reply(void *owner, void *data, const struct ow_command *answer)
+{
+    struct ow_node *node = owner;
+    struct submit_call *call = data;
+    if (answer->store.status == 200)
+        accept_job(node, call->request, answer->store.revision, g_steal_pointer(&call->submission));
+    else if (answer->store.status == 409) /* another node was first */
+        ow_replica_refresh(node->replica, answer_fresh, visit_new(call->request, call->submission->id));
+    else
+        refuse_busy(node, call->request, "the state service does not answer");
+}
+
+/* What can't run now may have been accepted by another node when it could: such a repeat is no 422. */
+static void refuse_if_new(struct ow_node *node, void *data, bool ok)
+{
+    const struct visit *v = data;
+    if (ok && ow_jobs_find(node->jobs, v->id) == NULL)
+        ow_node_refuse(node, v->request, 422, v->never, 0);
+    else
+        answer_fresh(node, data, ok);
+}
+
+static void create_job(struct ow_node *node, uint64_t request, struct ow_submission *s)
+{
+    struct submit_call *call = g_new0(struct submit_call, 1);
+    struct ow_job_record record = {.stance = OW_QUEUED, .submission = s};
+    struct ow_store_request *txn = ow_store_request_new(OW_STORE_TXN, NULL);
+    char *key = job_key(s->id);
+    ow_store_expect(txn, key, 0);
+    ow_store_write(txn, key, wire_job_record(&record), 0);
+    g_free(key);
+    call->submission = s;
+    call->request = request;
+    ow_node_store(node, txn, on_submit_reply, node, call, submit_call_free);
+}
+
+void ow_door_submit(struct ow_node *node, uint64_t request, struct ow_submission *s)
+{
+    const char *never = NULL;
+    if (ow_jobs_find(node->jobs, s->id) != NULL) {
+        /* A repeat is known by its id alone and never refused, whatever it says now. */
+        ow_door_poll(node, request, s->id);
+    } else if (!ow_replica_loaded(node->replica) || !node->types_known) {
+        refuse_busy(node, request, "still starting");
+    } else if ((never = never_runs(node, s)) != NULL) {
+        struct visit *v = visit_new(request, s->id);
+        v->never = never;
+        ow_replica_refresh(node->replica, refuse_if_new, v);
+    } else {
+        create_job(node, request, s);
+        return;
+    }
+    ow_submission_free(s);
+}
+
+/* ---- withdrawals ---- */
+
+static void withdraw_known(struct ow_node *node, uint64_t request, const struct ow_job *job);
+
+static void withdraw_fresh(struct ow_node *node, void *data, bool ok)
+{
+    const struct visit *v = data;
+    const struct ow_job *job = ow_jobs_find(node->jobs, v->id);
+    if (!ok)
+        refuse_busy(node, v->request, "the state service does not answer");
+    else if (job == NULL)
+        ow_node_refuse(node, v->request, 404, "no such job", 0);
+    else
+        withdraw_known(node, v->request, job);
+}
+
+static void on_withdrawn(void *owner, void *data, const struct ow_command *answer)
+{
+    struct ow_node *node = owner;
+    const struct visit *v = data;
+    struct ow_job *job = ow_jobs_find(node->jobs, v->id);
+    if (answer->store.status == 200) {
+        g_info("job %s withdrawn by its user", v->id);
+        ow_job_cancel(job, answer->store.revision);
+        answer_job(node, v->request, 200, job);
+        ow_node_nudge(node, answer->store.revision);
+    } else if (answer->store.status == 409) {
+        /* It was over before: the fresh record says how. */
+        ow_replica_refresh(node->replica, withdraw_fresh, visit_new(v->request, v->id));
+    } else {
+        refuse_busy(node, v->request, "the state service does not answer");
+    }
+}
+
+static void withdraw_known(struct ow_node *node, uint64_t request, const struct ow_job *job)
+{
+    if (ow_job_over(job)) {
+        answer_job(node, request, 200, job);
+        return;
+    }
+    struct ow_job_record record = {.stance = OW_CANCELLED, .submission = job->spec->submission};
+    struct ow_store_request *txn = ow_store_request_new(OW_STORE_TXN, NULL);
+    char *key = job_key(job->id);
+    ow_store_expect(txn, key, job->version);
+    ow_store_write(txn, key, wire_job_record(&record), 0);
+    g_free(key);
+    ow_node_store(node, txn, on_withdrawn, node, visit_new(request, job->id), g_free);
+}
+
+void ow_door_withdraw(struct ow_node *node, uint64_t request, const char *id)
+{
+    const struct ow_job *job = ow_jobs_find(node->jobs, id);
+    if (job != NULL)
+        withdraw_known(node, request, job);
+    else
+        ow_replica_refresh(node->replica, withdraw_fresh, visit_new(request, id));
+}
--- /dev/null
+++ b/src/core/door.h
@@ -0,0 +1,15 @@
+/* Users' requests: submissions, polls and withdrawals. */
+#ifndef OW_CORE_DOOR_H
+#define OW_CORE_DOOR_H
+
+#include "core/types.h"
+
+struct ow_node;
+
+/* Takes over `submission`. */
+void ow_door_submit(struct ow_node *node, uint64_t request, struct ow_submission *submission);
+void ow_door_poll(struct ow_node *node, uint64_t request, const char *id);
+void ow_door_teams(struct ow_node *node, uint64_t request);
+void ow_door_withdraw(struct ow_node *node, uint64_t request, const char *id);
+
+#endif
--- /dev/null
+++ b/src/core/effects.h
@@ -0,0 +1,118 @@
+/* What the core wants done outside, and what it is told. Plain data, owned by the queue that holds it. */
+#ifndef OW_CORE_EFFECTS_H
+#define OW_CORE_EFFECTS_H
+
+#include "core/store.h"
+#include "core/types.h"
+
+struct ow_cloud_request {
+    enum { OW_CLOUD_TYPES, OW_CLOUD_LIST, OW_CLOUD_RENT, OW_CLOUD_DELETE } op;
+    uint64_t tag;
+    char *after;                /* list */
+    char *name, *type, *zone;   /* rent */
+    bool spot;
+    unsigned count;
+    GPtrArray *machines; /* delete: names */
+};
+
+struct ow_cloud_reply {
+    uint64_t tag;
+    int status;
+    GArray *types;  /* of OW_CLOUD_TYPES */
+    GArray *listed; /* of OW_CLOUD_LIST */
+    bool more;
+    char **rented; /* of OW_CLOUD_RENT */
+};
+
+struct ow_peer_job {
+    char id[OW_ID_MAX + 1];
+    int done, running;
+    char *reason;
+};
+
+struct ow_peer_machine {
+    char *name, *addr, *type, *zone;
+    bool spot;
+};
+
+struct ow_peer_message {
+    enum { OW_PEER_HELLO = 1, OW_PEER_SUMMARY, OW_PEER_NUDGE, OW_PEER_MACHINES } kind;
+    char *node;
+    uint64_t number; /* token, or revision of a nudge */
+    bool leads, state_ok;
+    GArray *jobs;     /* struct ow_peer_job */
+    GArray *machines; /* struct ow_peer_machine */
+};
+
+struct ow_peer_message *ow_peer_message_new(int kind);
+void ow_peer_message_free(struct ow_peer_message *message);
+
+struct ow_team_view {
+    const char *name; /* the settings' */
+    struct ow_amounts running, waiting;
+    unsigned jobs, waiting_jobs;
+};
+
+enum ow_effect_kind {
+    OW_EFFECT_JOB,       /* answer a user with the state of a job */
+    OW_EFFECT_TEAMS,     /* answer a user with what teams use and wait for */
+    OW_EFFECT_REFUSE,    /* answer a user with an error */
+    OW_EFFECT_ORDERS,    /* answer a report with orders */
+    OW_EFFECT_MISDIRECT, /* tell a worker where to report */
+    OW_EFFECT_DIRECT,    /* give a worker orders at its own address */
+    OW_EFFECT_STORE,
+    OW_EFFECT_CLOUD,
+    OW_EFFECT_PEER,
+};
+
+struct ow_effect {
+    enum ow_effect_kind kind;
+    uint64_t request; /* whom to answer, or the tag of a direct order */
+    int status;
+    /* job */
+    char id[OW_ID_MAX + 1];
+    enum ow_stance stance;
+    int done, running;
+    char *text; /* the reason a job waits; an error; a node; an address */
+    int retry_after_s;
+    /* orders */
+    uint64_t token, session;
+    GArray *orders; /* struct ow_order */
+    GArray *teams;  /* struct ow_team_view */
+    struct ow_store_request *store;
+    struct ow_cloud_request *cloud;
+    struct ow_peer_message *peer;
+};
+
+void ow_effect_free(void *effect);
+void ow_cloud_request_free(struct ow_cloud_request *request);
+void ow_cloud_reply_clear(struct ow_cloud_reply *reply);
+
+enum ow_command_kind {
+    /* In the order in which a crowded queue is worked off: reports, decisions, submissions. */
+    OW_COMMAND_REPORT,
+    OW_COMMAND_DIRECT_REPLY,
+    OW_COMMAND_STORE,
+    OW_COMMAND_CLOUD,
+    OW_COMMAND_PEER,
+    OW_COMMAND_WITHDRAW,
+    OW_COMMAND_POLL,
+    OW_COMMAND_TEAMS,
+    OW_COMMAND_SUBMIT,
+};
+
+struct ow_command {
+    enum ow_command_kind kind;
+    uint64_t request; /* whom to answer, or the tag that is answered */
+    int status;
+    char id[OW_ID_MAX + 1];
+    struct ow_report *report;
+    struct ow_submission *submission;
+    struct ow_store_reply store;
+    struct ow_cloud_reply cloud;
+    struct ow_peer_message *peer;
+};
+
+void ow_command_free(void *command);
+
+#endif
--- /dev/null
+++ b/src/core/election.c
@@ -0,0 +1,308 @@
+#include "core/election.h"
+
+#include "core/lead.h"
+#include "core/node.h"
+#include "core/records.h"
+#include "wire/records_json.h"
+
+static const double RETRY_S = 0.4, WATCH_S = 20, WATCH_GAP_S = 0.2;
+
+enum stage { LOOKING, LEASING, TAKING, LEADING };
+
+struct ow_election {
+    struct ow_node *node;
+    enum stage stage;
+    bool busy;        /* a request of the stage at hand is under way */
+    double act_at;    /* not before */
+    uint64_t lease;
+    uint64_t key_version; /* of the key as last read; 0: nobody holds it */
+    bool key_known;       /* key_version and leader are from the state service */
+    char *leader;
+    uint64_t token;      /* ours while LEADING */
+    uint64_t seen_token; /* the highest known */
+    uint64_t taken_from; /* the version that our attempt to take the key replaces */
+    bool renewing;
+    double renew_at;
+    bool watching;
+    double watch_at;
+    uint64_t revision; /* watched since */
+};
+
+struct ow_election *ow_election_new(struct ow_node *node)
+{
+    struct ow_election *e = g_new0(struct ow_election, 1);
+    e->node = node;
+    return e;
+}
+
+void ow_election_free(struct ow_election *e)
+{
+    g_free(e->leader);
+    g_free(e);
+}
+
+uint64_t ow_election_token(const struct ow_election *e)
+{
+    return e->stage == LEADING ? e->token : 0;
+}
+
+const char *ow_election_leader(const struct ow_election *e)
+{
+    return e->stage == LEADING ? e->node->settings->node : e->leader;
+}
+
+static void set_leader(struct ow_election *e, const char *leader)
+{
+    char *copy = g_strdup(leader);
+    g_free(e->leader);
+    e->leader = copy;
+}
+
+static bool is_us(const struct ow_election *e, const char *name)
+{
+    return g_strcmp0(name, e->node->settings->node) == 0;
+}
+
+static void look_again(struct ow_election *e, double after_s)
+{
+    e->stage = LOOKING;
+    e->key_known = false;
+    e->act_at = e->node->now + after_s;
+}
+
+static void step_down(struct ow_election *e, const char *why)
+{
+    if (e->stage == LEADING) {
+        g_info("no longer coordinator: %s", why);
+        ow_lead_free(e->node->lead);
+        e->node->lead = NULL;
+    }
+    e->lease = 0;
+    set_leader(e, NULL);
+    look_again(e, 0);
+}
+
+void ow_election_deposed(struct ow_election *e)
+{
+    if (e->stage == LEADING)
+        step_down(e, "the key has changed hands");
+}
+
+void ow_election_saw_token(struct ow_election *e, uint64_t token, const char *leader)
+{
+    if (token < e->seen_token)
+        return;
+    e->seen_token = token;
+    if (e->stage == LEADING && token > e->token)
+        step_down(e, "a higher token is about");
+    if (leader != NULL && e->stage != LEADING)
+        set_leader(e, leader);
+}
+
+static char *nonce_text(const struct ow_election *e)
+{
+    return g_strdup_printf("%016" G_GINT64_MODIFIER "x", e->node->nonce);
+}
+
+static void begin_lead(struct ow_election *e, uint64_t token)
+{
+    e->stage = LEADING;
+    e->token = token;
+    e->seen_token = MAX(e->seen_token, token);
+    e->renew_at = e->node->now + e->node->rules->leader_lease_s / 4;
+    e->revision = token;
+    set_leader(e, NULL);
+    g_info("coordinator with token %" G_GUINT64_FORMAT, token);
+    e->node->lead = ow_lead_new(e->node, token);
+}
+
+/* The key as the state service shows it now. */
+static void learn_key(struct ow_election *e, const struct ow_store_item *item)
+{
+    const char *leader = NULL, *nonce = NULL;
+    char *ours = nonce_text(e);
+    wire_coordinator_record_parse(item->value, &leader, &nonce);
+    e->key_version = item->version;
+    e->key_known = true;
+    if (is_us(e, leader) && g_strcmp0(nonce, ours) == 0 && e->lease != 0 && item->version > e->taken_from) {
+        /* The answer to our own write was lost, but it was carried out. */
+        begin_lead(e, item->version);
+    } else if (is_us(e, leader)) {
+        /* An earlier process of this name, which has ended: its key need not run out first. */
+        set_leader(e, NULL);
+        e->stage = e->lease != 0 ? TAKING : LEASING;
+    } else {
+        set_leader(e, leader);
+        e->seen_token = MAX(e->seen_token, item->version);
+    }
+    g_free(ours);
+}
+
+static void key_free(struct ow_election *e)
+{
+    e->key_version = 0;
+    e->key_known = true;
+    set_leader(e, NULL);
+    e->stage = e->lease != 0 ? TAKING : LEASING;
+}
+
+static void on_look(void *owner, void *data, const struct ow_command *answer)
+{
+    struct ow_election *e = owner;
+    const struct ow_store_reply *reply = &answer->store;
+    (void)data;
+    e->busy = false;
+    if (e->stage != LOOKING)
+        return;
+    if (reply->status == 200 && reply->items->len == 1) {
+        const struct ow_store_item *item = &g_array_index(reply->items, struct ow_store_item, 0);
+        e->revision = MAX(e->revision, item->version);
+        learn_key(e, item);
+    } else if (reply->status == 404) {
+        e->revision = MAX(e->revision, reply->revision);
+        key_free(e);
+    } else {
+        e->act_at = e->node->now + RETRY_S;
+    }
+}
+
+static void on_lease(void *owner, void *data, const struct ow_command *answer)
+{
+    struct ow_election *e = owner;
+    (void)data;
+    e->busy = false;
+    if (e->stage != LEASING)
+        return;
+    if (answer->store.status == 200) {
+        e->lease = answer->store.lease;
+        e->stage = TAKING;
+    } else {
+        look_again(e, RETRY_S);
+    }
+}
+
+static void on_take(void *owner, void *data, const struct ow_command *answer)
+{
+    struct ow_election *e = owner;
+    (void)data;
+    e->busy = false;
+    if (e->stage != TAKING)
+        return;
+    int status = answer->store.status;
+    if (status == 200) {
+        begin_lead(e, answer->store.revision);
+        return;
+    }
+    /* No response: the write may have been carried out, so the key is read before anything else.
+       A refused lease must not be used again. */
+    if (status == 400)
+        e->lease = 0;
+    look_again(e, status == 409 ? 0 : RETRY_S);
+}
+
+static void on_renewed(void *owner, void *data, const struct ow_command *answer)
+{
+    struct ow_election *e = owner;
+    uint64_t lease = *(uint64_t *)data;
+    e->renewing = false;
+    if (e->stage != LEADING || lease != e->lease)
+        return;
+    int status = answer->store.status;
+    /* In an outage the lease keeps its full time, so only a clear "no such lease" ends our turn. */
+    if (status == 404)
+        step_down(e, "its lease has ended");
+    else
+        e->renew_at = e->node->now + (status == 200 ? e->node->rules->leader_lease_s / 4 : RETRY_S);
+}
+
+static void on_watch(void *owner, void *data, const struct ow_command *answer)
+{
+    struct ow_election *e = owner;
+    const struct ow_store_reply *reply = &answer->store;
+    (void)data;
+    e->watching = false;
+    e->watch_at = e->node->now + (reply->status == 200 ? WATCH_GAP_S : RETRY_S);
+    if (reply->status != 200) {
+        if (reply->status == 410)
+            e->revision = 0;
+        if (e->stage == LOOKING)
+            e->key_known = false;
+        return;
+    }
+    e->revision = MAX(e->revision, reply->revision);
+    if (e->stage != LOOKING)
+        return;
+    for (guint i = 0; i < reply->items->len && e->stage == LOOKING; i++) {
+        const struct ow_store_item *item = &g_array_index(reply->items, struct ow_store_item, i);
+        if (item->version < e->key_version)
+            continue;
+        if (item->value == NULL)
+            key_free(e);
+        else
+            learn_key(e, item);
+    }
+}
+
+static void look(struct ow_election *e)
+{
+    e->busy = true;
+    ow_node_store(e->node, ow_store_request_new(OW_STORE_GET, OW_KEY_COORDINATOR), on_look, e, NULL, NULL);
+}
+
+static void ask_lease(struct ow_election *e)
+{
+    struct ow_store_request *request = ow_store_request_new(OW_STORE_LEASE, NULL);
+    request->seconds = e->node->rules->leader_lease_s;
+    e->busy = true;
+    ow_node_store(e->node, request, on_lease, e, NULL, NULL);
+}
+
+static void take(struct ow_election *e)
+{
+    struct ow_store_request *txn = ow_store_request_new(OW_STORE_TXN, NULL);
+    char *nonce = nonce_text(e);
+    ow_store_expect(txn, OW_KEY_COORDINATOR, e->key_version);
+    ow_store_write(txn, OW_KEY_COORDINATOR, wire_coordinator_record(e->node->settings->node, nonce), e->lease);
+    g_free(nonce);
+    e->taken_from = e->key_version;
+    e->busy = true;
+    ow_node_store(e->node, txn, on_take, e, NULL, NULL);
+}
+
+static void renew(struct ow_election *e)
+{
+    struct ow_store_request *request = ow_store_request_new(OW_STORE_RENEW, NULL);
+    uint64_t *lease = g_new(uint64_t, 1);
+    *lease = request->number = e->lease;
+    e->renewing = true;
+    ow_node_store(e->node, request, on_renewed, e, lease, g_free);
+}
+
+static void watch(struct ow_election *e)
+{
+    struct ow_store_request *request = ow_store_request_new(OW_STORE_FOLLOW, OW_KEY_COORDINATOR);
+    request->number = e->revision;
+    request->seconds = WATCH_S;
+    e->watching = true;
+    ow_node_store(e->node, request, on_watch, e, NULL, NULL);
+}
+
+void ow_election_tick(struct ow_election *e)
+{
+    double now = e->node->now;
+    if (e->stage == LEADING) {
+        if (!e->renewing && now >= e->renew_at)
+            renew(e);
+        return;
+    }
+    if (e->busy || now < e->act_at)
+        return;
+    if (e->stage == LEASING)
+        ask_lease(e);
+    else if (e->stage == TAKING)
+        take(e);
+    else if (!e->key_known)
+        look(e);
+    else if (!e->watching && now >= e->watch_at)
+        watch(e);
+}
--- /dev/null
+++ b/src/core/election.h
@@ -0,0 +1,24 @@
+/* Who coordinates: a key of the state service, tethered to a short lease. The revision of the write
+ * that took the key is the coordinator's token, so tokens only grow. */
+#ifndef OW_CORE_ELECTION_H
+#define OW_CORE_ELECTION_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct ow_node;
+struct ow_election;
+
+struct ow_election *ow_election_new(struct ow_node *node);
+void ow_election_free(struct ow_election *election);
+void ow_election_tick(struct ow_election *election);
+/* Our token; 0 while we do not lead. */
+uint64_t ow_election_token(const struct ow_election *election);
+/* The name of the controller that leads as far as we know, or NULL. */
+const char *ow_election_leader(const struct ow_election *election);
+/* Somebody has seen this token; `leader` is its holder's name, or NULL if unknown. */
+void ow_election_saw_token(struct ow_election *election, uint64_t token, const char *leader);
+/* A write of ours failed because the key has changed hands. */
+void ow_election_deposed(struct ow_election *election);
+
+#endif
--- /dev/null
+++ b/src/core/job.c
@@ -0,0 +1,138 @@
+#include "core/job.h"
+
+struct ow_jobs {
+    struct ow_name_tables *names;
+    GHashTable *by_id;
+    GPtrArray *open;
+};
+
+struct ow_spec *ow_spec_new(struct ow_name_tables *names, struct ow_submission *s)
+{
+    struct ow_spec *spec = g_new0(struct ow_spec, 1);
+    spec->submission = s;
+    spec->class_index = ow_names_add(names->classes, s->class_name);
+    spec->team = ow_names_add(names->teams, s->team);
+    spec->image = ow_names_add(names->images, s->image);
+    spec->zone = s->zone != NULL ? ow_names_add(names->zones, s->zone) : OW_NO_NAME;
+    spec->types = s->types == NULL ? UINT64_MAX : 0;
+    for (char **type = s->types; type != NULL && *type != NULL; type++) {
+        int index = ow_names_add(names->types, *type);
+        /* Types past the bound are never rented, so a job loses nothing by not allowing them. */
+        if (index < OW_MAX_TYPES)
+            spec->types |= UINT64_C(1) << index;
+    }
+    return spec;
+}
+
+void ow_spec_free(struct ow_spec *spec)
+{
+    if (spec == NULL)
+        return;
+    ow_submission_free(spec->submission);
+    g_free(spec);
+}
+
+static void job_free(void *item)
+{
+    struct ow_job *job = item;
+    ow_spec_free(job->spec);
+    g_free(job->reason);
+    g_free(job->id);
+    g_free(job);
+}
+
+struct ow_jobs *ow_jobs_new(struct ow_name_tables *names)
+{
+    struct ow_jobs *jobs = g_new0(struct ow_jobs, 1);
+    jobs->names = names;
+    jobs->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+    jobs->open = g_ptr_array_new();
+    return jobs;
+}
+
+void ow_jobs_free(struct ow_jobs *jobs)
+{
+    if (jobs == NULL)
+        return;
+    g_ptr_array_free(jobs->open, TRUE);
+    g_hash_table_destroy(jobs->by_id);
+    g_free(jobs);
+}
+
+struct ow_job *ow_jobs_find(const struct ow_jobs *jobs, const char *id)
+{
+    return g_hash_table_lookup(jobs->by_id, id);
+}
+
+bool ow_job_over(const struct ow_job *job)
+{
+    return job->stance == OW_DONE || job->stance == OW_CANCELLED;
+}
+
+static struct ow_job *add_job(struct ow_jobs *jobs, const char *id, uint64_t version)
+{
+    struct ow_job *job = g_new0(struct ow_job, 1);
+    job->id = g_strdup(id);
+    job->place = version;
+    job->done = job->running = OW_UNCOUNTED;
+    g_hash_table_insert(jobs->by_id, job->id, job);
+    return job;
+}
+
+struct ow_job *ow_jobs_apply(struct ow_jobs *jobs, const char *id, uint64_t version, enum ow_stance stance,
+                             struct ow_submission *submission)
+{
+    struct ow_job *job = ow_jobs_find(jobs, id);
+    bool fresh = job == NULL;
+    /* Watches and lists may answer out of order: what is over must never come back to life. */
+    if (!fresh && version <= job->version) {
+        ow_submission_free(submission);
+        return NULL;
+    }
+    if (fresh)
+        job = add_job(jobs, id, version);
+    job->version = version;
+    job->stance = stance;
+    /* A cancelled job keeps its description until the coordinator has seen its last task end. */
+    bool settled = submission == NULL;
+    if (submission != NULL && job->spec == NULL)
+        job->spec = ow_spec_new(jobs->names, submission);
+    else
+        ow_submission_free(submission);
+    if (ow_job_over(job))
+        ow_job_set_reason(job, NULL);
+    if (fresh && job->spec != NULL)
+        g_ptr_array_add(jobs->open, job);
+    else if (ow_job_over(job) && job->run == NULL && settled)
+        ow_jobs_close(jobs, job);
+    return job;
+}
+
+void ow_job_cancel(struct ow_job *job, uint64_t version)
+{
+    if (version <= job->version)
+        return;
+    job->version = version;
+    job->stance = OW_CANCELLED;
+    ow_job_set_reason(job, NULL);
+}
+
+void ow_jobs_close(struct ow_jobs *jobs, struct ow_job *job)
+{
+    g_ptr_array_remove_fast(jobs->open, job);
+    ow_spec_free(job->spec);
+    job->spec = NULL;
+}
+
+const GPtrArray *ow_jobs_open(const struct ow_jobs *jobs)
+{
+    return jobs->open;
+}
+
+void ow_job_set_reason(struct ow_job *job, const char *reason)
+{
+    if (g_strcmp0(job->reason, reason) == 0)
+        return;
+    g_free(job->reason);
+    job->reason = g_strdup(reason);
+}
--- /dev/null
+++ b/src/core/job.h
@@ -0,0 +1,53 @@
+/* The job table: every job ever accepted, by id. Final jobs keep little more than their id. */
+#ifndef OW_CORE_JOB_H
+#define OW_CORE_JOB_H
+
+#include "core/names.h"
+#include "core/types.h"
+
+struct ow_run;
+
+/* A submission with its names as indices. */
+struct ow_spec {
+    struct ow_submission *submission; /* owned */
+    int class_index, team, image, zone; /* zone OW_NO_NAME: any */
+    uint64_t types; /* a bit for each allowed type */
+};
+
+struct ow_job {
+    char *id;
+    enum ow_stance stance; /* OW_QUEUED stands for every job that is not over */
+    uint64_t version;      /* of its record */
+    uint64_t place;        /* its place in line: the revision that accepted it */
+    struct ow_spec *spec;  /* NULL once it is over and no task is left */
+    struct ow_run *run;    /* the coordinator's */
+    /* For users' eyes only. */
+    int done, running;
+    char *reason;
+};
+
+struct ow_jobs;
+
+struct ow_name_tables {
+    struct ow_names *classes, *teams, *images, *zones, *types;
+};
+
+struct ow_jobs *ow_jobs_new(struct ow_name_tables *names);
+void ow_jobs_free(struct ow_jobs *jobs);
+struct ow_job *ow_jobs_find(const struct ow_jobs *jobs, const char *id);
+/* Takes over `submission`. An older version than the known one changes nothing and answers NULL. */
+struct ow_job *ow_jobs_apply(struct ow_jobs *jobs, const char *id, uint64_t version, enum ow_stance stance,
+                             struct ow_submission *submission);
+/* A cancellation that has just been committed here; its tasks may still have to be ended. */
+void ow_job_cancel(struct ow_job *job, uint64_t version);
+/* The jobs that are not over, or are cancelled and may still have tasks, in no order. */
+const GPtrArray *ow_jobs_open(const struct ow_jobs *jobs);
+/* To be called when a job is over and no task of it is left: it leaves the open ones. */
+void ow_jobs_close(struct ow_jobs *jobs, struct ow_job *job);
+
+bool ow_job_over(const struct ow_job *job);
+void ow_job_set_reason(struct ow_job *job, const char *reason);
+struct ow_spec *ow_spec_new(struct ow_name_tables *names, struct ow_submission *submission);
+void ow_spec_free(struct ow_spec *spec);
+
+#endif
--- /dev/null
+++ b/src/core/lead.h
@@ -0,0 +1,16 @@
+/* The coordinator's part of a controller: it exists only while this controller holds the key. */
+#ifndef OW_CORE_LEAD_H
+#define OW_CORE_LEAD_H
+
+#include "core/effects.h"
+
+struct ow_node;
+struct ow_lead;
+
+struct ow_lead *ow_lead_new(struct ow_node *node, uint64_t token);
+void ow_lead_free(struct ow_lead *lead);
+/* Takes a worker's report and answers it. */
+void ow_lead_report(struct ow_lead *lead, uint64_t request, const struct ow_report *report);
+void ow_lead_tick(struct ow_lead *lead);
+
+#endif
--- /dev/null
+++ b/src/core/lead_state.h
@@ -0,0 +1,277 @@
+/* What the coordinator's parts share. Each struct has one owner file, named at it; others read. */
+#ifndef OW_CORE_LEAD_STATE_H
+#define OW_CORE_LEAD_STATE_H
+
+#include "core/lead.h"
+#include "core/node.h"
+
+struct ow_recorder;
+
+/* ---- attempts and runs: run.c ---- */
+
+enum ow_attempt_state {
+    OW_AT_PLANNED,   /* its record is not committed: no launch may leave */
+    OW_AT_COMMITTED, /* recorded; no launch has left */
+    OW_AT_SENT,      /* a launch may be on its way or carried out */
+    OW_AT_SEEN,      /* the worker reports it */
+    OW_AT_INHERITED, /* recorded by an earlier coordinator; not accounted for yet */
+};
+
+struct ow_attempt {
+    struct ow_job *job;
+    uint32_t task;
+    uint64_t number;
+    struct ow_machine *machine;
+    uint64_t session;
+    enum ow_attempt_state state;
+    enum ow_phase phase;
+    uint64_t in_write; /* serial of the write that carries its record */
+    uint32_t mark;     /* of the last report that lists it */
+    double placed_at, running_at; /* running_at 0: not yet seen running */
+    bool stop;
+    double stop_grace_s, stop_at;
+};
+
+struct ow_task {
+    bool done;
+    uint8_t failures;
+    struct ow_attempt *attempt; /* NULL: none may exist */
+};
+
+/* Tasks are recorded in runs of this many: such a record fits the state service's smallest value. */
+enum { OW_CHUNK_TASKS = 512 };
+
+struct ow_chunk {
+    struct ow_job *job;
+    uint32_t index;
+    uint64_t version; /* of its record; 0: none */
+    uint64_t last_attempt;
+    bool dirty, launching, writing;
+    double dirty_at;
+};
+
+struct ow_run {
+    struct ow_job *job;
+    struct ow_task *tasks;
+    uint32_t count, done, running;
+    GPtrArray *attempts; /* that may exist */
+    struct ow_chunk *chunks;
+    uint32_t chunk_count;
+    uint32_t cursor;        /* no pending task below it */
+    bool finishing;         /* its last record is queued or under way */
+    double ready_at;        /* not to be started before */
+    unsigned failures;      /* in a row, on several machines */
+    GHashTable *bad_machines; /* machines where a task of it failed -> nothing */
+    struct ow_reservation *reservation; /* of a waiting gang; owned by reservation.c */
+    double started_at;      /* of its first task, 0: not yet */
+};
+
+/* ---- machines: book.c ---- */
+
+struct ow_image_copy {
+    int image;
+    double gb, used_at;
+    bool present; /* else being fetched */
+    double ready_at;
+};
+
+struct ow_floating {
+    const struct ow_job *job;
+    uint32_t task;
+    uint64_t number;
+};
+
+struct ow_machine {
+    char *name, *addr;
+    int type, zone; /* OW_NO_NAME: not known yet */
+    bool spot;
+    enum ow_listed listed;
+    double rented_at, seen_at; /* seen_at: the last message from it, 0: none */
+    double reported_at, answered_at; /* its last report to us; our last answer */
+    uint64_t session, seq;
+    uint64_t dead_session; /* every session up to it is proven over */
+    bool fenced;           /* it has shown our token: older coordinators command it no more */
+    double fenced_at;
+    double lost_at; /* when the cloud takes it, after a notice; 0: none */
+    GPtrArray *attempts;
+    struct ow_amounts used;  /* by attempts that may exist */
+    struct ow_amounts stray; /* by tasks that it reports and we don't know */
+    uint32_t mark;
+    bool direct_busy, direct_wanted;
+    double direct_at; /* not before */
+    GArray *direct_starts; /* struct ow_floating: launches of the direct order under way */
+    GArray *floating;      /* struct ow_floating: launches of direct orders without an answer */
+    GArray *images;        /* struct ow_image_copy */
+    unsigned errors;       /* since the last task that went well */
+    unsigned quarantines;
+    double quarantine_until;
+    double slowness; /* run time against the estimate's, as seen; 1: as expected */
+    double idle_since;
+    bool draining, deleting;
+    double delete_at; /* the next try */
+    struct ow_amounts held; /* scratch of the scheduling pass */
+};
+
+/* ---- holds: reservation.c ---- */
+
+struct ow_hold {
+    struct ow_machine *machine;
+    uint32_t member;
+    double made_at;
+};
+
+struct ow_reservation {
+    struct ow_job *job;
+    double opened_at; /* the window */
+    bool closed;
+    double short_since; /* since the window closed without a candidate for each member */
+    bool given_up; /* waited past the limit: the holds are dropped, the place is kept */
+    double again_at;
+    GArray *holds; /* struct ow_hold */
+};
+
+/* ---- the coordinator: lead.c ---- */
+
+struct ow_rental_refusal {
+    int type, zone;
+    bool spot;
+    double until;
+};
+
+struct ow_lead {
+    struct ow_node *node;
+    uint64_t token;
+    enum { OW_LEAD_REFRESH, OW_LEAD_LOADING, OW_LEAD_READY } phase;
+    bool load_busy;
+    double load_at;
+    char *load_after;
+    double ready_at; /* when it became ready */
+
+    GHashTable *machines_by_name;
+    GPtrArray *machines;
+    uint32_t mark;
+
+    GPtrArray *runs;
+    struct ow_amounts *team_used; /* by team index of the settings' order, grown as names come */
+    guint team_count;
+
+    struct ow_recorder *recorder;
+    bool dirty; /* a scheduling pass is due */
+    double pass_at;
+
+    struct ow_bucket cloud;
+    double list_at, types_at, rent_at, summary_at, care_at;
+    bool listing, types_busy;
+    char *list_after;
+    unsigned rentals;
+    unsigned renting; /* calls under way */
+    GArray *refusals; /* struct ow_rental_refusal */
+    double gpu_cpus;  /* CPUs that a GPU needs to be of use, by the jobs that are open */
+};
+
+static inline const struct ow_machine_type *ow_machine_spec(const struct ow_lead *lead, const struct ow_machine *m)
+{
+    return m->type >= 0 && m->type < OW_MAX_TYPES ? lead->node->types[m->type] : NULL;
+}
+
+/* run.c */
+struct ow_run *ow_run_get(struct ow_lead *lead, struct ow_job *job);
+void ow_run_drop(struct ow_lead *lead, struct ow_run *run);
+struct ow_attempt *ow_attempt_new(struct ow_lead *lead, struct ow_run *run, uint32_t task, uint64_t number,
+                                  struct ow_machine *machine, uint64_t session);
+/* Proof is there that the attempt is gone, or no launch of it ever left. */
+void ow_attempt_end(struct ow_lead *lead, struct ow_attempt *attempt, enum ow_cause cause, const char *proof);
+void ow_attempt_stop(struct ow_lead *lead, struct ow_attempt *attempt, double grace_s, const char *why);
+/* Stops all attempts of a run in one round. */
+void ow_run_stop(struct ow_lead *lead, struct ow_run *run, double grace_s, const char *why);
+uint32_t ow_run_pending(const struct ow_run *run);
+struct ow_amounts *ow_team_used(struct ow_lead *lead, int team);
+/* How many more tasks of a job its team's limit admits. */
+uint32_t ow_team_admits(struct ow_lead *lead, const struct ow_spec *spec, uint32_t wanted);
+
+/* book.c */
+struct ow_machine *ow_book_find(const struct ow_lead *lead, const char *name);
+struct ow_machine *ow_book_get(struct ow_lead *lead, const char *name);
+void ow_book_describe(struct ow_lead *lead, struct ow_machine *m, const char *addr, const char *type,
+                      const char *zone, bool spot);
+/* The machine is gone for good: every attempt on it is, too. */
+void ow_book_remove(struct ow_lead *lead, struct ow_machine *m, const char *proof);
+/* Whether new tasks may be put on it now. */
+bool ow_book_usable(const struct ow_lead *lead, const struct ow_machine *m);
+bool ow_book_is_floating(const struct ow_machine *m, const struct ow_job *job, uint32_t task, uint64_t number);
+struct ow_image_copy *ow_book_image(const struct ow_machine *m, int image);
+void ow_book_image_use(struct ow_lead *lead, struct ow_machine *m, const struct ow_spec *spec, bool present);
+/* Seconds until a task with this image could run there. */
+double ow_book_fetch_s(const struct ow_lead *lead, const struct ow_machine *m, const struct ow_spec *spec);
+void ow_machine_free(void *machine);
+
+/* orders.c: what workers are told */
+GArray *ow_orders_for(struct ow_lead *lead, struct ow_machine *m, GArray *starts);
+void ow_orders_send(struct ow_lead *lead);
+
+/* reports.c */
+void ow_reports_take(struct ow_lead *lead, const struct ow_report *report, GArray *clears);
+
+/* recorder.c */
+struct ow_recorder *ow_recorder_new(struct ow_lead *lead);
+void ow_recorder_free(struct ow_recorder *recorder);
+void ow_recorder_chunk(struct ow_lead *lead, struct ow_run *run, uint32_t task, bool launching);
+/* Writes how the job ended, and drops its progress. */
+void ow_recorder_finish(struct ow_lead *lead, struct ow_run *run);
+void ow_recorder_drop(struct ow_lead *lead, const char *key, uint64_t version);
+void ow_recorder_tick(struct ow_lead *lead);
+/* How many changes wait to be written. */
+guint ow_recorder_backlog(const struct ow_lead *lead);
+void ow_recorder_forget(struct ow_lead *lead, const struct ow_run *run);
+
+/* takeover.c */
+void ow_takeover_tick(struct ow_lead *lead);
+
+/* schedule.c */
+void ow_schedule_pass(struct ow_lead *lead);
+void ow_schedule_jobs(struct ow_lead *lead);
+
+/* placement.c */
+struct ow_room {
+    struct ow_machine *machine;
+    uint32_t slots;
+    double cost;
+    bool conflicted;
+};
+bool ow_place_allowed(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m);
+uint32_t ow_place_slots(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m);
+double ow_place_cost(const struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m);
+/* Every machine with room for the job, cheapest first: struct ow_room each. */
+GArray *ow_place_rooms(const struct ow_lead *lead, const struct ow_run *run);
+/* Zones: how many more tasks the job's own rules admit in this zone, given what may exist. */
+uint32_t ow_place_zone_admits(const struct ow_run *run, int zone);
+void ow_place_array(struct ow_lead *lead, struct ow_run *run);
+void ow_place_task(struct ow_lead *lead, struct ow_run *run, uint32_t task, uint64_t number, struct ow_machine *m);
+uint32_t ow_place_next_pending(struct ow_run *run);
+
+/* reservation.c */
+void ow_reservation_try(struct ow_lead *lead, struct ow_run *run);
+void ow_reservation_free(struct ow_reservation *reservation);
+/* Books the standing holds of a run against the machines, for jobs behind it in line. */
+void ow_reservation_book(struct ow_run *run);
+
+/* preempt.c */
+/* Slots for the job on a machine if all work that may be stopped for it went. */
+uint32_t ow_preempt_slots(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m);
+/* Stops the cheapest work there that makes room for `slots` tasks; false if none can. */
+bool ow_preempt_make_room(struct ow_lead *lead, const struct ow_run *run, struct ow_machine *m, uint32_t slots);
+double ow_preempt_loss(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m,
+                       uint32_t slots);
+
+/* rent.c */
+void ow_rent_tick(struct ow_lead *lead);
+void ow_rent_delete(struct ow_lead *lead, struct ow_machine *m, const char *why);
+
+/* care.c: silent, sick and noticed machines; proofs by time */
+void ow_care_tick(struct ow_lead *lead);
+void ow_care_error(struct ow_lead *lead, struct ow_machine *m, struct ow_run *run);
+
+/* reason.c */
+void ow_reason_waits(struct ow_lead *lead, struct ow_run *run);
+
+#endif
--- /dev/null
+++ b/src/core/node.h
@@ -0,0 +1,51 @@
+/* One controller: what its parts share. Owned by core.c; nothing outside core/ sees it. */
+#ifndef OW_CORE_NODE_H
+#define OW_CORE_NODE_H
+
+#include "core/bucket.h"
+#include "core/calls.h"
+#include "core/effects.h"
+#include "core/job.h"
+#include "core/settings.h"
+
+struct ow_replica;
+struct ow_door;
+struct ow_election;
+struct ow_lead;
+
+struct ow_node {
+    const struct ow_settings *settings;
+    const struct ow_rules *rules;
+    uint64_t nonce; /* tells this process from others of the same name */
+    double now;
+    GPtrArray *effects;
+    struct ow_calls *calls;
+    struct ow_name_tables names;
+    struct ow_jobs *jobs;
+    struct ow_machine_type *types[OW_MAX_TYPES]; /* by name index; NULL: not known */
+    bool types_known;
+    double types_asked_at;
+    struct ow_replica *replica;
+    struct ow_door *door;
+    struct ow_election *election;
+    struct ow_lead *lead; /* NULL while another controller coordinates */
+    double state_ok_at;   /* the last answer of the state service that was no failure */
+    double state_bad_since; /* 0: the last answer was good */
+    GHashTable *peers_ok;   /* peer name -> double *: when it last said that its state service answers */
+    GArray *machine_hints;  /* struct ow_peer_machine, from the coordinator's last message */
+    double hello_at;
+};
+
+void ow_node_emit(struct ow_node *node, struct ow_effect *effect);
+struct ow_effect *ow_effect_new(enum ow_effect_kind kind, uint64_t request);
+void ow_node_refuse(struct ow_node *node, uint64_t request, int status, const char *text, int retry_after_s);
+void ow_node_store(struct ow_node *node, struct ow_store_request *request, ow_call_fn fn, void *owner, void *data,
+                   void (*free_data)(void *));
+void ow_node_cloud(struct ow_node *node, struct ow_cloud_request *request, ow_call_fn fn, void *owner, void *data,
+                   void (*free_data)(void *));
+void ow_node_tell_peers(struct ow_node *node, struct ow_peer_message *message);
+/* Tells the coordinator that a job's record has changed. */
+void ow_node_nudge(struct ow_node *node, uint64_t revision);
+void ow_node_set_types(struct ow_node *node, const GArray *types);
+
+#endif
--- /dev/null
+++ b/src/core/placement.c
@@ -0,0 +1,176 @@
+/* Where a task may run, where it runs best, and placing it there. */
+#include "core/lead_state.h"
+
+#include <math.h>
+
+/* Seconds that a job without need of it is worth waiting rather than taking a machine with GPUs. */
+static const double GPU_WASTE_S = 20;
+
+bool ow_place_allowed(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m)
+{
+    (void)lead;
+    if (m->type < 0 || m->type >= OW_MAX_TYPES || (spec->types & (UINT64_C(1) << m->type)) == 0)
+        return false;
+    if (spec->zone != OW_NO_NAME && spec->zone != m->zone)
+        return false;
+    return spec->submission->spot || !m->spot;
+}
+
+static double fit(double free, double need)
+{
+    return need <= 0 ? OW_MAX_TASKS : floor((free + 1e-6) / need);
+}
+
+uint32_t ow_place_slots(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m)
+{
+    const struct ow_machine_type *type = ow_machine_spec(lead, m);
+    const struct ow_amounts *need = &spec->submission->need;
+    if (type == NULL)
+        return 0;
+    double gpus = type->size.gpus - m->used.gpus - m->stray.gpus - m->held.gpus;
+    double cpus = type->size.cpus - m->used.cpus - m->stray.cpus - m->held.cpus;
+    double memory = type->size.memory_gb - m->used.memory_gb - m->stray.memory_gb - m->held.memory_gb;
+    if (need->gpus <= 0 && gpus > 0)
+        /* Room that the machine's free GPUs need to be of use. */
+        cpus -= gpus * lead->gpu_cpus;
+    double slots = MIN(MIN(fit(cpus, need->cpus), fit(gpus, need->gpus)), fit(memory, need->memory_gb));
+    return slots <= 0 ? 0 : (uint32_t)slots;
+}
+
+double ow_place_cost(const struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m)
+{
+    const struct ow_spec *spec = run->job->spec;
+    const struct ow_machine_type *type = ow_machine_spec(lead, m);
+    double cost = ow_book_fetch_s(lead, m, spec);
+    cost += spec->submission->estimate_s * MAX(0, m->slowness - 1);
+    if (type->size.gpus > 0 && spec->submission->need.gpus <= 0)
+        cost += GPU_WASTE_S;
+    /* Rent, then the tightest fit. */
+    cost += m->spot ? type->spot_price : type->price;
+    double left = type->size.cpus - m->used.cpus - spec->submission->need.cpus;
+    return cost + left / type->size.cpus;
+}
+
+static gint by_cost(gconstpointer a, gconstpointer b)
+{
+    const struct ow_room *x = a, *y = b;
+    /* Unconflicted rooms are preferred, whatever they cost. */
+    if (x->conflicted != y->conflicted)
+        return x->conflicted ? 1 : -1;
+    return x->cost < y->cost ? -1 : x->cost > y->cost;
+}
+
+static bool held_for_another(const struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m)
+{
+    for (guint i = 0; i < lead->runs->len; i++) {
+        const struct ow_run *other = g_ptr_array_index(lead->runs, i);
+        if (other == run || other->reservation == NULL)
+            continue;
+        for (guint h = 0; h < other->reservation->holds->len; h++)
+            if (g_array_index(other->reservation->holds, struct ow_hold, h).machine == m)
+                return true;
+    }
+    return false;
+}
+
+GArray *ow_place_rooms(const struct ow_lead *lead, const struct ow_run *run)
+{
+    GArray *rooms = g_array_new(FALSE, FALSE, sizeof(struct ow_room));
+    const struct ow_spec *spec = run->job->spec;
+    for (guint i = 0; i < lead->machines->len; i++) {
+        struct ow_machine *m = g_ptr_array_index(lead->machines, i);
+        if (!ow_book_usable(lead, m) || !ow_place_allowed(lead, spec, m) ||
+            g_hash_table_contains(run->bad_machines, m))
+            continue;
+        struct ow_room room = {.machine = m, .slots = ow_place_slots(lead, spec, m)};
+        if (room.slots == 0)
+            continue;
+        room.cost = ow_place_cost(lead, run, m);
+        room.conflicted = spec->submission->gang && held_for_another(lead, run, m);
+        g_array_append_val(rooms, room);
+    }
+    g_array_sort(rooms, by_cost);
+    return rooms;
+}
+
+uint32_t ow_place_zone_admits(const struct ow_run *run, int zone)
+{
+    const struct ow_submission *s = run->job->spec->submission;
+    if (!s->one_zone && !s->spread)
+        return run->count;
+    uint32_t here = 0;
+    /* Rule 6: against all attempts that may still exist, also of tasks that are done or on their way out. */
+    for (guint i = 0; i < run->attempts->len; i++) {
+        const struct ow_attempt *at = g_ptr_array_index(run->attempts, i);
+        if (at->machine->zone == OW_NO_NAME || (s->one_zone && at->machine->zone != zone))
+            return 0;
+        here += at->machine->zone == zone ? 1 : 0;
+    }
+    if (!s->spread)
+        return run->count;
+    uint32_t most = (run->count + 1) / 2;
+    return here >= most ? 0 : most - here;
+}
+
+uint32_t ow_place_next_pending(struct ow_run *run)
+{
+    while (run->cursor < run->count &&
+           (run->tasks[run->cursor].done || run->tasks[run->cursor].attempt != NULL))
+        run->cursor++;
+    return run->cursor;
+}
+
+void ow_place_task(struct ow_lead *lead, struct ow_run *run, uint32_t task, uint64_t number, struct ow_machine *m)
+{
+    struct ow_chunk *chunk = &run->chunks[task / OW_CHUNK_TASKS];
+    chunk->last_attempt = MAX(chunk->last_attempt, number);
+    ow_attempt_new(lead, run, task, number, m, m->session);
+    ow_book_image_use(lead, m, run->job->spec, false);
+    ow_recorder_chunk(lead, run, task, true);
+    g_debug("task %s/%u attempt %" G_GUINT64_FORMAT " placed on %s", run->job->id, task, number, m->name);
+}
+
+/* The zone where an array that must stay together fits best. */
+static int best_zone(const struct ow_run *run, const GArray *rooms)
+{
+    int best = OW_NO_NAME;
+    uint64_t most = 0;
+    for (guint i = 0; i < rooms->len; i++) {
+        int zone = g_array_index(rooms, struct ow_room, i).machine->zone;
+        uint64_t slots = 0;
+        if (ow_place_zone_admits(run, zone) == 0)
+            continue;
+        for (guint k = 0; k < rooms->len; k++)
+            if (g_array_index(rooms, struct ow_room, k).machine->zone == zone)
+                slots += g_array_index(rooms, struct ow_room, k).slots;
+        if (slots > most) {
+            most = slots;
+            best = zone;
+        }
+    }
+    return best;
+}
+
+void ow_place_array(struct ow_lead *lead, struct ow_run *run)
+{
+    uint32_t wanted = ow_team_admits(lead, run->job->spec, ow_run_pending(run));
+    if (wanted == 0)
+        return;
+    GArray *rooms = ow_place_rooms(lead, run);
+    int only = run->job->spec->submission->one_zone ? best_zone(run, rooms) : OW_NO_NAME;
+    uint32_t placed = 0;
+    uint64_t number = 0;
+    for (uint32_t c = 0; c < run->chunk_count; c++)
+        number = MAX(number, run->chunks[c].last_attempt + 1);
+    for (guint i = 0; i < rooms->len && placed < wanted; i++) {
+        struct ow_room *room = &g_array_index(rooms, struct ow_room, i);
+        if (only != OW_NO_NAME && room->machine->zone != only)
+            continue;
+        uint32_t here = MIN(room->slots, ow_place_zone_admits(run, room->machine->zone));
+        for (; here > 0 && placed < wanted; here--, placed++)
+            ow_place_task(lead, run, ow_place_next_pending(run), number, room->machine);
+    }
+    g_array_free(rooms, TRUE);
+    if (placed > 0)
+        g_info("job %s: %u tasks placed", run->job->id, placed);
+}
--- /dev/null
+++ b/src/core/preempt.c
@@ -0,0 +1,125 @@
+/* Stopping work to make room, where the rules allow it: the cheapest loss first. */
+#include "core/lead_state.h"
+
+#include <math.h>
+
+/* Time that a stop and its report take beside the saving itself. */
+static const double GRACE_MARGIN_S = 2;
+
+static bool may_stop(const struct ow_spec *spec, const struct ow_attempt *at)
+{
+    return at->job->spec->submission->rank > spec->submission->rank && at->session == at->machine->session;
+}
+
+/* Seconds of one task's work that stopping it now throws away. */
+static double loss_s(const struct ow_lead *lead, const struct ow_attempt *at)
+{
+    const struct ow_submission *s = at->job->spec->submission;
+    if (at->state != OW_AT_SEEN || at->running_at == 0)
+        return 0;
+    double ran = lead->node->now - at->running_at;
+    return s->checkpoint_s > 0 ? MIN(ran, s->save_s) : ran;
+}
+
+/* A slice of free room as it would be with some attempts gone. */
+static uint32_t slots_without(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m,
+                              const struct ow_amounts *gone)
+{
+    struct ow_machine then = *m;
+    then.used.cpus -= gone->cpus;
+    then.used.gpus -= gone->gpus;
+    then.used.memory_gb -= gone->memory_gb;
+    return ow_place_slots(lead, spec, &then);
+}
+
+static void add_need(struct ow_amounts *sum, const struct ow_attempt *at)
+{
+    const struct ow_amounts *need = &at->job->spec->submission->need;
+    sum->cpus += need->cpus;
+    sum->gpus += need->gpus;
+    sum->memory_gb += need->memory_gb;
+}
+
+uint32_t ow_preempt_slots(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m)
+{
+    struct ow_amounts gone = {0};
+    for (guint i = 0; i < m->attempts->len; i++) {
+        const struct ow_attempt *at = g_ptr_array_index(m->attempts, i);
+        if (at->stop || may_stop(spec, at))
+            add_need(&gone, at);
+    }
+    return slots_without(lead, spec, m, &gone);
+}
+
+struct victim {
+    struct ow_attempt *attempt;
+    double loss;
+};
+
+static gint by_loss(gconstpointer a, gconstpointer b)
+{
+    const struct victim *x = a, *y = b;
+    return x->loss < y->loss ? -1 : x->loss > y->loss;
+}
+
+/* The victims that make room, or NULL if none do. Work already being stopped comes first and is free. */
+static GArray *choose_victims(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m,
+                              uint32_t slots)
+{
+    GArray *all = g_array_new(FALSE, FALSE, sizeof(struct victim));
+    struct ow_amounts gone = {0};
+    for (guint i = 0; i < m->attempts->len; i++) {
+        struct ow_attempt *at = g_ptr_array_index(m->attempts, i);
+        struct victim v = {at, loss_s(lead, at)};
+        if (at->stop)
+            add_need(&gone, at);
+        else if (may_stop(spec, at))
+            g_array_append_val(all, v);
+    }
+    g_array_sort(all, by_loss);
+    guint taken = 0;
+    while (slots_without(lead, spec, m, &gone) < slots && taken < all->len)
+        add_need(&gone, g_array_index(all, struct victim, taken++).attempt);
+    if (slots_without(lead, spec, m, &gone) < slots) {
+        g_array_free(all, TRUE);
+        return NULL;
+    }
+    g_array_set_size(all, taken);
+    return all;
+}
+
+double ow_preempt_loss(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m,
+                       uint32_t slots)
+{
+    GArray *victims = choose_victims(lead, spec, m, slots);
+    double loss = 0;
+    if (victims == NULL)
+        return INFINITY;
+    for (guint i = 0; i < victims->len; i++)
+        loss += g_array_index(victims, struct victim, i).loss;
+    g_array_free(victims, TRUE);
+    return loss;
+}
+
+bool ow_preempt_make_room(struct ow_lead *lead, const struct ow_run *run, struct ow_machine *m, uint32_t slots)
+{
+    GArray *victims = choose_victims(lead, run->job->spec, m, slots);
+    if (victims == NULL)
+        return false;
+    char *why = g_strdup_printf("room for job %s", run->job->id);
+    for (guint i = 0; i < victims->len; i++) {
+        struct ow_attempt *at = g_array_index(victims, struct victim, i).attempt;
+        const struct ow_submission *s = at->job->spec->submission;
+        double grace = s->checkpoint_s > 0 ? s->save_s + GRACE_MARGIN_S : 0;
+        /* The tasks of a gang stop in one round, or their saving fails. One stopped before may have ended
+           another that was chosen, too. */
+        if (s->gang) {
+            ow_run_stop(lead, at->job->run, grace, why);
+            break;
+        }
+        ow_attempt_stop(lead, at, grace, why);
+    }
+    g_free(why);
+    g_array_free(victims, TRUE);
+    return true;
+}
--- /dev/null
+++ b/src/core/reason.c
@@ -0,0 +1,47 @@
+/* Why a job waits, in words for its team. */
+#include "core/lead_state.h"
+
+static uint32_t allowed_machines(const struct ow_lead *lead, const struct ow_run *run, uint32_t *usable)
+{
+    uint32_t allowed = 0;
+    *usable = 0;
+    for (guint i = 0; i < lead->machines->len; i++) {
+        const struct ow_machine *m = g_ptr_array_index(lead->machines, i);
+        if (!ow_place_allowed(lead, run->job->spec, m))
+            continue;
+        allowed++;
+        *usable += ow_book_usable(lead, m) ? 1 : 0;
+    }
+    return allowed;
+}
+
+static char *waits_for(struct ow_lead *lead, const struct ow_run *run, uint32_t pending)
+{
+    const struct ow_spec *spec = run->job->spec;
+    bool gang = spec->submission->gang;
+    uint32_t usable = 0, wanted = gang ? run->count : 1;
+    if (run->ready_at > lead->node->now)
+        return g_strdup("paused after failures; it is tried again soon");
+    if (gang && run->attempts->len > 0)
+        return g_strdup("waits until every task of its last attempt is proven gone");
+    if (ow_team_admits(lead, spec, wanted) < wanted)
+        return g_strdup_printf("team %s is at its limit", spec->submission->team);
+    uint32_t allowed = allowed_machines(lead, run, &usable);
+    if (allowed == 0)
+        return g_strdup("no machine that it allows is rented yet");
+    if (usable == 0)
+        return g_strdup_printf("none of the %u machines that it allows can take tasks now", allowed);
+    if (gang)
+        return g_strdup_printf("short of room for all %u tasks at once; holds room for %u and keeps its place",
+                               run->count, run->reservation != NULL ? MIN(run->reservation->holds->len, run->count) : 0);
+    return g_strdup_printf("%u tasks wait for room on %u machines, behind earlier or more urgent work", pending,
+                           usable);
+}
+
+void ow_reason_waits(struct ow_lead *lead, struct ow_run *run)
+{
+    uint32_t pending = ow_run_pending(run);
+    char *reason = pending > 0 ? waits_for(lead, run, pending) : NULL;
+    ow_job_set_reason(run->job, reason);
+    g_free(reason);
+}
--- /dev/null
+++ b/src/core/records.h
@@ -0,0 +1,36 @@
+/* What the state service keeps for us, as plain data.
+ *
+ *   coordinator      who leads; tethered to a short lease
+ *   types            the machine types last seen
+ *   j/<id>           a job: its submission, or how it ended (a tombstone, kept forever)
+ *   p/<id>/<chunk>   progress of a run of tasks: what is done, which attempts may exist, and where
+ */
+#ifndef OW_CORE_RECORDS_H
+#define OW_CORE_RECORDS_H
+
+#include "core/types.h"
+
+#define OW_KEY_COORDINATOR "coordinator"
+#define OW_KEY_TYPES "types"
+#define OW_KEY_JOBS "j/"
+#define OW_KEY_PROGRESS "p/"
+
+struct ow_job_record {
+    enum ow_stance stance; /* queued stands for every job that is not over */
+    struct ow_submission *submission; /* NULL once over and no task of it may be left */
+};
+
+struct ow_live_record {
+    uint32_t task;
+    uint64_t attempt;
+    const char *machine;
+    uint64_t session;
+};
+
+struct ow_progress_record {
+    uint64_t last_attempt; /* no attempt number up to it may be used again */
+    GArray *done;          /* uint32_t task numbers, ascending */
+    GArray *live;          /* struct ow_live_record, grouped by machine and session */
+};
+
+#endif
--- /dev/null
+++ b/src/core/rent.c
@@ -0,0 +1,314 @@
+/* Renting for work that waits, and returning what is of no use. */
+#include "core/lead_state.h"
+
+#include <math.h>
+
+static const double LIST_S = 10, REFUSAL_S = 20, IDLE_S = 45;
+enum { RENT_MOST = 8 };
+
+/* ---- deleting ---- */
+
+static void on_deleted(void *owner, void *data, const struct ow_command *answer)
+{
+    struct ow_lead *lead = owner;
+    struct ow_machine *m = ow_book_find(lead, data);
+    if (m == NULL)
+        return;
+    if (answer->cloud.status == 200) {
+        g_info("machine %s is returned", m->name);
+        ow_book_remove(lead, m, "its machine is deleted");
+    } else {
+        m->deleting = true; /* it may be carried out yet: nothing new goes there */
+        m->delete_at = lead->node->now + 2;
+    }
+}
+
+void ow_rent_delete(struct ow_lead *lead, struct ow_machine *m, const char *why)
+{
+    if (lead->node->now < m->delete_at || !ow_bucket_take(&lead->cloud, 1, lead->node->now))
+        return;
+    if (!m->deleting)
+        g_info("machine %s is being returned: %s", m->name, why);
+    struct ow_cloud_request *request = g_new0(struct ow_cloud_request, 1);
+    request->op = OW_CLOUD_DELETE;
+    request->machines = g_ptr_array_new_with_free_func(g_free);
+    g_ptr_array_add(request->machines, g_strdup(m->name));
+    m->deleting = true;
+    m->delete_at = INFINITY;
+    ow_node_cloud(lead->node, request, on_deleted, lead, g_strdup(m->name), g_free);
+}
+
+/* ---- the list ---- */
+
+static void on_listed(void *owner, void *data, const struct ow_command *answer)
+{
+    struct ow_lead *lead = owner;
+    (void)data;
+    lead->listing = false;
+    if (answer->cloud.status != 200 || answer->cloud.listed == NULL) {
+        lead->list_at = lead->node->now + 2;
+        return;
+    }
+    const GArray *listed = answer->cloud.listed;
+    for (guint i = 0; i < listed->len; i++) {
+        const struct ow_listed_machine *l = &g_array_index(listed, struct ow_listed_machine, i);
+        struct ow_machine *m = ow_book_find(lead, l->name);
+        bool fresh = m == NULL;
+        if (fresh)
+            m = ow_book_get(lead, l->name);
+        ow_book_describe(lead, m, l->addr, l->type, l->zone, l->spot);
+        /* Lists lag: what its own worker said is newer. */
+        if (m->seen_at == 0 || l->state == OW_LISTED_FAILED)
+            m->listed = l->state;
+        if (fresh)
+            m->rented_at = lead->node->now - l->age_s;
+    }
+    g_clear_pointer(&lead->list_after, g_free);
+    if (answer->cloud.more && listed->len > 0)
+        lead->list_after = g_strdup(g_array_index(listed, struct ow_listed_machine, listed->len - 1).name);
+    else
+        lead->list_at = lead->node->now + LIST_S;
+}
+
+static void list(struct ow_lead *lead)
+{
+    if (!ow_bucket_take(&lead->cloud, 1, lead->node->now))
+        return;
+    struct ow_cloud_request *request = g_new0(struct ow_cloud_request, 1);
+    request->op = OW_CLOUD_LIST;
+    request->after = g_strdup(lead->list_after);
+    lead->listing = true;
+    ow_node_cloud(lead->node, request, on_listed, lead, NULL, NULL);
+}
+
+/* ---- renting ---- */
+
+struct rental_call {
+    int type, zone;
+    bool spot;
+};
+
+static void on_rented(void *owner, void *data, const struct ow_command *answer)
+{
+    struct ow_lead *lead = owner;
+    const struct rental_call *call = data;
+    const char *type = ow_names_text(lead->node->names.types, call->type);
+    const char *zone = ow_names_text(lead->node->names.zones, call->zone);
+    lead->renting--;
+    if (answer->cloud.status != 200 || answer->cloud.rented == NULL || answer->cloud.rented[0] == NULL) {
+        struct ow_rental_refusal refusal = {call->type, call->zone, call->spot, lead->node->now + REFUSAL_S};
+        g_array_append_val(lead->refusals, refusal);
+        g_info("no %s machine of type %s in %s: status %d", call->spot ? "spot" : "ordinary", type, zone,
+               answer->cloud.status);
+        return;
+    }
+    for (char **name = answer->cloud.rented; *name != NULL; name++) {
+        struct ow_machine *m = ow_book_get(lead, *name);
+        ow_book_describe(lead, m, NULL, type, zone, call->spot);
+        if (m->listed == OW_LISTED_NOT)
+            m->listed = OW_LISTED_BOOTING;
+        g_info("machine %s rented: %s %s in %s", *name, call->spot ? "spot" : "ordinary", type, zone);
+    }
+}
+
+/* A machine that work could have: one that is coming up, or one to be rented. */
+struct coming {
+    struct ow_machine machine; /* a stand-in: type, zone, kind and use alone */
+    bool to_rent;
+};
+
+static bool refused(const struct ow_lead *lead, int type, int zone, bool spot)
+{
+    for (guint i = 0; i < lead->refusals->len; i++) {
+        const struct ow_rental_refusal *r = &g_array_index(lead->refusals, struct ow_rental_refusal, i);
+        if (r->type == type && r->zone == zone && r->spot == spot)
+            return true;
+    }
+    return false;
+}
+
+static void forget_refusals(struct ow_lead *lead)
+{
+    for (guint i = lead->refusals->len; i > 0; i--)
+        if (g_array_index(lead->refusals, struct ow_rental_refusal, i - 1).until < lead->node->now)
+            g_array_remove_index_fast(lead->refusals, i - 1);
+}
+
+static GArray *coming_up(const struct ow_lead *lead)
+{
+    GArray *list_ = g_array_new(FALSE, TRUE, sizeof(struct coming));
+    for (guint i = 0; i < lead->machines->len; i++) {
+        const struct ow_machine *m = g_ptr_array_index(lead->machines, i);
+        if (m->seen_at != 0 || m->listed != OW_LISTED_BOOTING || m->deleting)
+            continue;
+        struct coming c = {.machine = {.type = m->type, .zone = m->zone, .spot = m->spot}};
+        g_array_append_val(list_, c);
+    }
+    return list_;
+}
+
+static uint32_t take_room(const struct ow_lead *lead, const struct ow_spec *spec, struct coming *c, uint32_t wanted)
+{
+    if (!ow_place_allowed(lead, spec, &c->machine))
+        return 0;
+    uint32_t slots = MIN(wanted, ow_place_slots(lead, spec, &c->machine));
+    c->machine.used.cpus += slots * spec->submission->need.cpus;
+    c->machine.used.gpus += slots * spec->submission->need.gpus;
+    c->machine.used.memory_gb += slots * spec->submission->need.memory_gb;
+    return slots;
+}
+
+static bool offered_in(const struct ow_machine_type *type, const char *zone)
+{
+    return type->zones == NULL || g_strv_contains((const char *const *)type->zones, zone);
+}
+
+/* The cheapest kind of machine for the job that has not been refused lately. */
+static bool best_kind(const struct ow_lead *lead, const struct ow_spec *spec, struct coming *out)
+{
+    double best = INFINITY;
+    for (int type = 0; type < OW_MAX_TYPES; type++) {
+        const struct ow_machine_type *t = lead->node->types[type];
+        for (char **zone = lead->node->settings->zones; t != NULL && *zone != NULL; zone++) {
+            for (int spot = 0; spot < 2; spot++) {
+                int z = ow_names_add(lead->node->names.zones, *zone);
+                struct coming c = {.machine = {.type = type, .zone = z, .spot = spot != 0}, .to_rent = true};
+                uint32_t slots = ow_place_slots(lead, spec, &c.machine);
+                if (!offered_in(t, *zone) || slots == 0 || !ow_place_allowed(lead, spec, &c.machine) ||
+                    refused(lead, type, z, spot != 0))
+                    continue;
+                double price = (spot ? t->spot_price : t->price) / MIN(slots, spec->submission->tasks);
+                if (price < best) {
+                    best = price;
+                    *out = c;
+                }
+            }
+        }
+    }
+    return best < INFINITY;
+}
+
+static void plan_for(struct ow_lead *lead, const struct ow_run *run, GArray *plan, unsigned *most)
+{
+    const struct ow_spec *spec = run->job->spec;
+    uint32_t wanted = ow_team_admits(lead, spec, ow_run_pending(run));
+    for (guint i = 0; i < plan->len && wanted > 0; i++)
+        wanted -= take_room(lead, spec, &g_array_index(plan, struct coming, i), wanted);
+    struct coming c;
+    while (wanted > 0 && *most > 0 && best_kind(lead, spec, &c)) {
+        uint32_t taken = take_room(lead, spec, &c, wanted);
+        if (taken == 0)
+            return;
+        wanted -= taken;
+        g_array_append_val(plan, c);
+        (*most)--;
+    }
+}
+
+static void rent(struct ow_lead *lead, const struct coming *c, unsigned count)
+{
+    struct ow_cloud_request *request = g_new0(struct ow_cloud_request, 1);
+    struct rental_call *call = g_new0(struct rental_call, 1);
+    *call = (struct rental_call){c->machine.type, c->machine.zone, c->machine.spot};
+    request->op = OW_CLOUD_RENT;
+    /* The token is ours alone, so no other process ever uses the same name for another request. */
+    request->name = g_strdup_printf("r-%" G_GUINT64_FORMAT "-%u", lead->token, ++lead->rentals);
+    request->type = g_strdup(ow_names_text(lead->node->names.types, call->type));
+    request->zone = g_strdup(ow_names_text(lead->node->names.zones, call->zone));
+    request->spot = call->spot;
+    request->count = count;
+    lead->renting++;
+    ow_node_cloud(lead->node, request, on_rented, lead, call, g_free);
+}
+
+static bool same_kind(const struct coming *a, const struct coming *b)
+{
+    return a->to_rent && b->to_rent && a->machine.type == b->machine.type &&
+           a->machine.zone == b->machine.zone && a->machine.spot == b->machine.spot;
+}
+
+static void rent_planned(struct ow_lead *lead, GArray *plan)
+{
+    for (guint i = 0; i < plan->len; i++) {
+        struct coming *c = &g_array_index(plan, struct coming, i);
+        unsigned count = 0;
+        if (!c->to_rent)
+            continue;
+        for (guint k = i; k < plan->len; k++)
+            count += same_kind(c, &g_array_index(plan, struct coming, k)) ? 1 : 0;
+        if (!ow_bucket_take(&lead->cloud, 1, lead->node->now))
+            return;
+        rent(lead, c, count);
+        for (guint k = plan->len; k > i; k--)
+            if (k - 1 != i && same_kind(c, &g_array_index(plan, struct coming, k - 1)))
+                g_array_index(plan, struct coming, k - 1).to_rent = false;
+    }
+}
+
+static void rent_for_waiting(struct ow_lead *lead)
+{
+    /* One round at a time: a second plan must see what the first has brought. */
+    if (lead->renting > 0 || lead->node->now - lead->ready_at < 4)
+        return;
+    forget_refusals(lead);
+    GArray *plan = coming_up(lead);
+    unsigned most = RENT_MOST;
+    for (guint i = 0; i < lead->runs->len; i++) {
+        const struct ow_run *run = g_ptr_array_index(lead->runs, i);
+        if (ow_run_pending(run) > 0 && run->ready_at <= lead->node->now)
+            plan_for(lead, run, plan, &most);
+    }
+    rent_planned(lead, plan);
+    g_array_free(plan, TRUE);
+}
+
+/* ---- returning ---- */
+
+static bool held(const struct ow_lead *lead, const struct ow_machine *m)
+{
+    for (guint i = 0; i < lead->runs->len; i++) {
+        const struct ow_run *run = g_ptr_array_index(lead->runs, i);
+        for (guint h = 0; run->reservation != NULL && h < run->reservation->holds->len; h++)
+            if (g_array_index(run->reservation->holds, struct ow_hold, h).machine == m)
+                return true;
+    }
+    return false;
+}
+
+/* Whether aims are so tight that a machine rented at need would come too late. */
+static bool worth_keeping(const struct ow_lead *lead, const struct ow_machine *m)
+{
+    const struct ow_machine_type *type = ow_machine_spec(lead, m);
+    const GArray *objectives = lead->node->settings->objectives;
+    for (guint i = 0; type != NULL && i < objectives->len; i++) {
+        const struct ow_objective *o = &g_array_index(objectives, struct ow_objective, i);
+        double slack = o->within_s - (o->kind == OW_OBJECTIVE_FINISHED ? 60 : 0);
+        if (slack < 1.5 * type->boot_s + 10 && type->size.gpus <= 0)
+            return true;
+    }
+    return false;
+}
+
+static void return_idle(struct ow_lead *lead)
+{
+    double now = lead->node->now;
+    for (guint i = 0; i < lead->machines->len; i++) {
+        struct ow_machine *m = g_ptr_array_index(lead->machines, i);
+        if (m->attempts->len > 0 || !m->fenced || now - MAX(m->idle_since, lead->ready_at) < IDLE_S ||
+            held(lead, m) || worth_keeping(lead, m))
+            continue;
+        ow_rent_delete(lead, m, "it is idle");
+    }
+}
+
+void ow_rent_tick(struct ow_lead *lead)
+{
+    double now = lead->node->now;
+    if (!lead->listing && now >= lead->list_at)
+        list(lead);
+    if (now < lead->rent_at)
+        return;
+    lead->rent_at = now + 1;
+    rent_for_waiting(lead);
+    return_idle(lead);
+}
--- /dev/null
+++ b/src/core/reports.c
@@ -0,0 +1,188 @@
+/* What workers report, and what it proves. */
+#include "core/lead_state.h"
+
+#include <string.h>
+
+static struct ow_attempt *find_attempt(struct ow_machine *m, const struct ow_job *job, const struct ow_task_report *t)
+{
+    if (job == NULL || job->run == NULL || t->task >= job->run->count)
+        return NULL;
+    struct ow_attempt *at = job->run->tasks[t->task].attempt;
+    return at != NULL && at->machine == m && at->number == t->attempt && at->session == m->session ? at : NULL;
+}
+
+static void order(GArray *orders, enum ow_op op, const struct ow_task_report *t)
+{
+    if (orders == NULL)
+        return;
+    struct ow_order o = {.op = op, .task = t->task, .attempt = t->attempt, .grace_s = 0};
+    g_strlcpy(o.job, t->job, sizeof o.job);
+    g_array_append_val(orders, o);
+}
+
+static bool result_recorded(const struct ow_job *job, uint32_t task)
+{
+    if (ow_job_over(job))
+        return true;
+    const struct ow_chunk *chunk = &job->run->chunks[task / OW_CHUNK_TASKS];
+    return job->run->tasks[task].done && !chunk->dirty && !chunk->writing;
+}
+
+/* Rule 3: an ended task is cleared only when nothing can deliver its launch again, and a result only
+   after it has been recorded. While the job goes on, an attempt that ended in any other way stays known
+   to the worker: a late copy of its launch then finds it there and does nothing. */
+static void clear_ended(struct ow_machine *m, const struct ow_job *job, const struct ow_task_report *t,
+                        GArray *orders)
+{
+    if (job == NULL || ow_book_is_floating(m, job, t->task, t->attempt))
+        return;
+    bool known = job->run != NULL && t->task < job->run->count;
+    if (ow_job_over(job) || (known && t->cause == OW_CAUSE_DONE && result_recorded(job, t->task)))
+        order(orders, OW_FORGET, t);
+}
+
+/* A task that no record of ours accounts for: a copy of an old launch. */
+static void take_stray(struct ow_lead *lead, struct ow_machine *m, struct ow_job *job,
+                       const struct ow_task_report *t, GArray *orders)
+{
+    if (t->phase == OW_EXITED) {
+        /* A result counts even if its attempt was given up for lost. */
+        if (t->cause == OW_CAUSE_DONE && job != NULL && job->run != NULL && t->task < job->run->count &&
+            !ow_job_over(job) && !job->run->tasks[t->task].done && job->run->tasks[t->task].attempt == NULL) {
+            job->run->tasks[t->task].done = true;
+            job->run->done++;
+            ow_recorder_chunk(lead, job->run, t->task, false);
+        }
+        clear_ended(m, job, t, orders);
+        return;
+    }
+    const struct ow_spec *spec = job != NULL ? job->spec : NULL;
+    const struct ow_machine_type *type = ow_machine_spec(lead, m);
+    const struct ow_amounts *need = spec != NULL ? &spec->submission->need : type != NULL ? &type->size : NULL;
+    if (need != NULL) {
+        m->stray.cpus += need->cpus;
+        m->stray.gpus += need->gpus;
+        m->stray.memory_gb += need->memory_gb;
+    }
+    g_info("task %s/%u attempt %" G_GUINT64_FORMAT " on %s is unaccounted for and is stopped", t->job, t->task,
+           t->attempt, m->name);
+    order(orders, OW_STOP, t);
+}
+
+static void take_phase(struct ow_lead *lead, struct ow_attempt *at, enum ow_phase phase)
+{
+    struct ow_run *run = at->job->run;
+    bool was_running = at->state == OW_AT_SEEN && at->phase == OW_RUNNING;
+    at->state = OW_AT_SEEN;
+    at->phase = phase;
+    run->running += (phase == OW_RUNNING ? 1 : 0) - (was_running ? 1 : 0);
+    if (phase == OW_RUNNING && at->running_at == 0) {
+        at->running_at = lead->node->now;
+        if (run->started_at == 0)
+            run->started_at = lead->node->now;
+    }
+    ow_book_image_use(lead, at->machine, at->job->spec, phase != OW_FETCHING);
+}
+
+static void take_task(struct ow_lead *lead, struct ow_machine *m, const struct ow_task_report *t, GArray *orders)
+{
+    struct ow_job *job = ow_jobs_find(lead->node->jobs, t->job);
+    struct ow_attempt *at = find_attempt(m, job, t);
+    if (at == NULL) {
+        take_stray(lead, m, job, t, orders);
+        return;
+    }
+    at->mark = m->mark;
+    if (t->phase != OW_EXITED) {
+        take_phase(lead, at, t->phase);
+        return;
+    }
+    if (t->cause == OW_CAUSE_DONE)
+        ow_book_image_use(lead, m, job->spec, true);
+    else
+        g_info("task %s/%u on %s ended: cause %d%s", t->job, t->task, m->name, t->cause, t->saved ? ", saved" : "");
+    ow_attempt_end(lead, at, t->cause, "reported as ended");
+    clear_ended(m, job, t, orders);
+}
+
+static void take_absent(struct ow_lead *lead, struct ow_machine *m)
+{
+    for (guint i = m->attempts->len; i > 0; i--) {
+        if (i > m->attempts->len)
+            continue;
+        struct ow_attempt *at = g_ptr_array_index(m->attempts, i - 1);
+        if (at->mark == m->mark || at->session != m->session)
+            continue;
+        /* An older coordinator's launch can't come true any more: the worker has seen our token.
+           Our own may still be on its way; it is sent again until it shows. */
+        if (at->state == OW_AT_INHERITED)
+            ow_attempt_end(lead, at, OW_CAUSE_NONE, "not on its machine under the new token");
+        else if (at->state == OW_AT_SEEN) {
+            if (at->phase == OW_RUNNING)
+                at->job->run->running--;
+            at->state = OW_AT_SENT;
+        }
+    }
+}
+
+static void begin_session(struct ow_lead *lead, struct ow_machine *m, uint64_t session)
+{
+    m->session = session;
+    m->seq = 0;
+    m->dead_session = MAX(m->dead_session, session - 1);
+    g_array_set_size(m->floating, 0);
+    for (guint i = m->attempts->len; i > 0; i--) {
+        if (i > m->attempts->len)
+            continue;
+        struct ow_attempt *at = g_ptr_array_index(m->attempts, i - 1);
+        if (at->session < session)
+            ow_attempt_end(lead, at, OW_CAUSE_NONE, "its machine has begun a new session");
+    }
+}
+
+static void take_notice(struct ow_lead *lead, struct ow_machine *m, double notice_s)
+{
+    if (notice_s < 0) {
+        m->lost_at = 0;
+        return;
+    }
+    if (m->lost_at == 0)
+        g_info("machine %s is taken back by the cloud in %.1f s", m->name, notice_s);
+    m->lost_at = lead->node->now + notice_s;
+}
+
+void ow_reports_take(struct ow_lead *lead, const struct ow_report *report, GArray *orders)
+{
+    struct ow_machine *m = ow_book_get(lead, report->machine);
+    double now = lead->node->now;
+    ow_book_describe(lead, m, report->addr, report->type, report->zone, report->spot);
+    /* A late copy says nothing about now, and a session proven over is over. */
+    if (report->session < m->session || (report->session == m->session && report->seq <= m->seq) ||
+        report->session <= m->dead_session)
+        return;
+    m->listed = OW_LISTED_RUNNING;
+    m->seen_at = now;
+    if (report->token != lead->token || lead->phase != OW_LEAD_READY) {
+        /* Until it has seen our token an older coordinator may still change what it says. */
+        m->direct_wanted = m->direct_wanted || lead->phase == OW_LEAD_READY;
+        if (report->session > m->session && m->session == 0)
+            m->session = report->session;
+        return;
+    }
+    if (report->session > m->session || !m->fenced)
+        begin_session(lead, m, report->session);
+    if (!m->fenced) {
+        m->fenced = true;
+        m->fenced_at = now;
+        m->idle_since = now;
+        lead->dirty = true;
+        g_info("machine %s reports, session %" G_GUINT64_FORMAT, m->name, m->session);
+    }
+    m->seq = report->seq;
+    m->mark = ++lead->mark;
+    m->stray = (struct ow_amounts){0};
+    take_notice(lead, m, report->notice_s);
+    for (guint i = 0; i < report->tasks->len; i++)
+        take_task(lead, m, &g_array_index(report->tasks, struct ow_task_report, i), orders);
+    take_absent(lead, m);
+}
--- /dev/null
+++ b/src/core/reservation.c
@@ -0,0 +1,249 @@
+/* Holds of waiting gangs.
+ *
+ * The members of a gang are alike, so their candidate lists have the same machines in the same order; a
+ * machine stands in as many lists as it has room for members. The window closes as soon as every member
+ * has a candidate, which in our own picture is often at once. */
+#include "core/lead_state.h"
+
+#include <math.h>
+
+struct pick {
+    struct ow_machine *machine;
+    uint32_t count;
+};
+
+static struct ow_reservation *reservation_of(struct ow_lead *lead, struct ow_run *run)
+{
+    if (run->reservation == NULL) {
+        struct ow_reservation *r = g_new0(struct ow_reservation, 1);
+        r->job = run->job;
+        r->opened_at = r->short_since = lead->node->now;
+        r->holds = g_array_new(FALSE, FALSE, sizeof(struct ow_hold));
+        run->reservation = r;
+    }
+    return run->reservation;
+}
+
+void ow_reservation_free(struct ow_reservation *r)
+{
+    if (r == NULL)
+        return;
+    g_array_free(r->holds, TRUE);
+    g_free(r);
+}
+
+/* How many members a zone rule admits on this machine, beside those picked already. */
+static uint32_t zone_admits(const struct ow_run *run, const GArray *picks, int zone, int only)
+{
+    const struct ow_submission *s = run->job->spec->submission;
+    if (s->one_zone && only != OW_NO_NAME && zone != only)
+        return 0;
+    uint32_t admits = ow_place_zone_admits(run, zone);
+    if (!s->spread)
+        return admits;
+    for (guint i = 0; i < picks->len; i++) {
+        const struct pick *p = &g_array_index(picks, struct pick, i);
+        if (p->machine->zone == zone)
+            admits = admits > p->count ? admits - p->count : 0;
+    }
+    return admits;
+}
+
+/* Picks machines for as many members as the rooms have, in their order; returns how many are left. */
+static uint32_t pick_members(const struct ow_run *run, const GArray *rooms, int only, GArray *picks, double *cost)
+{
+    uint32_t left = run->count;
+    *cost = 0;
+    for (guint i = 0; i < rooms->len && left > 0; i++) {
+        const struct ow_room *room = &g_array_index(rooms, struct ow_room, i);
+        uint32_t n = MIN(left, MIN(room->slots, zone_admits(run, picks, room->machine->zone, only)));
+        if (n == 0)
+            continue;
+        struct pick p = {room->machine, n};
+        g_array_append_val(picks, p);
+        *cost += n * room->cost;
+        left -= n;
+    }
+    return left;
+}
+
+/* The best pick over the zones if the gang must stay in one; fewest members left, then cheapest. */
+static uint32_t best_pick(const struct ow_run *run, const GArray *rooms, GArray *out)
+{
+    uint32_t best_left = run->count + 1;
+    double best_cost = INFINITY;
+    bool one_zone = run->job->spec->submission->one_zone;
+    for (guint i = 0; i < MAX(rooms->len, 1); i++) {
+        int only = one_zone && rooms->len > 0 ? g_array_index(rooms, struct ow_room, i).machine->zone : OW_NO_NAME;
+        GArray *picks = g_array_new(FALSE, FALSE, sizeof(struct pick));
+        double cost = 0;
+        uint32_t left = pick_members(run, rooms, only, picks, &cost);
+        if (left < best_left || (left == best_left && cost < best_cost)) {
+            best_left = left;
+            best_cost = cost;
+            g_array_set_size(out, 0);
+            g_array_append_vals(out, picks->data, picks->len);
+        }
+        g_array_free(picks, TRUE);
+        if (!one_zone)
+            break;
+    }
+    return best_left;
+}
+
+static void start_all(struct ow_lead *lead, struct ow_run *run, const GArray *picks)
+{
+    uint64_t number = 0;
+    uint32_t task = 0;
+    for (uint32_t c = 0; c < run->chunk_count; c++)
+        number = MAX(number, run->chunks[c].last_attempt + 1);
+    for (guint i = 0; i < picks->len; i++) {
+        const struct pick *p = &g_array_index(picks, struct pick, i);
+        for (uint32_t n = 0; n < p->count; n++)
+            ow_place_task(lead, run, task++, number, p->machine);
+    }
+    g_info("gang %s: all %u members start in one round, attempt %" G_GUINT64_FORMAT, run->job->id, run->count,
+           number);
+    /* Holds that were not picked are cancelled with the reservation. */
+    g_clear_pointer(&run->reservation, ow_reservation_free);
+}
+
+static void add_hold(struct ow_reservation *r, struct ow_machine *m, uint32_t member, double now)
+{
+    for (guint k = 0; k < r->holds->len; k++) {
+        const struct ow_hold *old = &g_array_index(r->holds, struct ow_hold, k);
+        if (old->member == member && old->machine == m)
+            return;
+    }
+    struct ow_hold h = {m, member, now};
+    g_array_append_val(r->holds, h);
+}
+
+static void drop_old_holds(struct ow_lead *lead, struct ow_reservation *r)
+{
+    for (guint k = r->holds->len; k > 0; k--)
+        if (lead->node->now - g_array_index(r->holds, struct ow_hold, k - 1).made_at >=
+            lead->node->rules->hold_life_s)
+            g_array_remove_index_fast(r->holds, k - 1);
+}
+
+/* Each member holds what was picked for it. */
+static void hold(struct ow_lead *lead, struct ow_run *run, const GArray *picks)
+{
+    uint32_t member = 0;
+    for (guint i = 0; i < picks->len; i++) {
+        const struct pick *p = &g_array_index(picks, struct pick, i);
+        for (uint32_t n = 0; n < p->count; n++, member++)
+            add_hold(run->reservation, p->machine, member, lead->node->now);
+    }
+}
+
+/* While the window is open every member collects further candidates. */
+static void collect(struct ow_lead *lead, struct ow_run *run, const GArray *rooms)
+{
+    struct ow_reservation *r = run->reservation;
+    for (uint32_t member = 0; member < run->count && member < rooms->len; member++)
+        for (guint i = 0; i < rooms->len && i < lead->node->rules->candidates; i++)
+            add_hold(r, g_array_index(rooms, struct ow_room, i).machine, member, lead->node->now);
+}
+
+/* Rooms as they would be after stopping what may be stopped, in the order of what that costs. */
+static GArray *awaited_rooms(struct ow_lead *lead, const struct ow_run *run)
+{
+    GArray *rooms = g_array_new(FALSE, FALSE, sizeof(struct ow_room));
+    const struct ow_spec *spec = run->job->spec;
+    for (guint i = 0; i < lead->machines->len; i++) {
+        struct ow_machine *m = g_ptr_array_index(lead->machines, i);
+        if (!ow_book_usable(lead, m) || !ow_place_allowed(lead, spec, m) ||
+            g_hash_table_contains(run->bad_machines, m))
+            continue;
+        uint32_t slots = MIN(ow_preempt_slots(lead, spec, m), run->count);
+        if (slots == 0)
+            continue;
+        double cost = ow_place_cost(lead, run, m) + ow_preempt_loss(lead, spec, m, slots);
+        struct ow_room room = {m, slots, cost, false};
+        guint at = 0;
+        while (at < rooms->len && g_array_index(rooms, struct ow_room, at).cost <= cost)
+            at++;
+        g_array_insert_val(rooms, at, room);
+    }
+    return rooms;
+}
+
+/* Holds for every member on room that lower work is stopped for. */
+static bool make_room(struct ow_lead *lead, struct ow_run *run)
+{
+    GArray *rooms = awaited_rooms(lead, run);
+    GArray *picks = g_array_new(FALSE, FALSE, sizeof(struct pick));
+    bool all = best_pick(run, rooms, picks) == 0;
+    for (guint i = 0; all && i < picks->len; i++) {
+        const struct pick *p = &g_array_index(picks, struct pick, i);
+        ow_preempt_make_room(lead, run, p->machine, p->count);
+    }
+    if (all) {
+        /* Every member has its machine: the other holds are cancelled. */
+        g_array_set_size(run->reservation->holds, 0);
+        hold(lead, run, picks);
+    }
+    g_array_free(picks, TRUE);
+    g_array_free(rooms, TRUE);
+    return all;
+}
+
+static void stay_short(struct ow_lead *lead, struct ow_run *run, const GArray *rooms, const GArray *picks)
+{
+    struct ow_reservation *r = run->reservation;
+    double now = lead->node->now, limit = lead->node->rules->waiting_limit_s;
+    if (now < r->opened_at + lead->node->rules->window_s) {
+        collect(lead, run, rooms);
+        return;
+    }
+    if (!r->closed) {
+        /* The window is over: what was not picked is cancelled. */
+        r->closed = true;
+        r->short_since = now;
+        g_array_set_size(r->holds, 0);
+    }
+    if (!r->given_up && now - r->short_since > limit) {
+        r->given_up = true;
+        r->again_at = now + limit / 4;
+        g_array_set_size(r->holds, 0);
+        g_info("gang %s: holds dropped after %.0f s, its place is kept", run->job->id, limit);
+    }
+    if (r->given_up && now < r->again_at)
+        return;
+    if (r->given_up) {
+        r->given_up = false;
+        r->short_since = now;
+    }
+    hold(lead, run, picks);
+}
+
+void ow_reservation_try(struct ow_lead *lead, struct ow_run *run)
+{
+    /* Rule 4: nothing of a gang starts while an earlier attempt is not accounted for. */
+    if (run->attempts->len > 0 || ow_team_admits(lead, run->job->spec, run->count) < run->count)
+        return;
+    drop_old_holds(lead, reservation_of(lead, run));
+    GArray *rooms = ow_place_rooms(lead, run);
+    GArray *picks = g_array_new(FALSE, FALSE, sizeof(struct pick));
+    if (best_pick(run, rooms, picks) == 0)
+        start_all(lead, run, picks);
+    else if (!make_room(lead, run))
+        stay_short(lead, run, rooms, picks);
+    g_array_free(picks, TRUE);
+    g_array_free(rooms, TRUE);
+}
+
+void ow_reservation_book(struct ow_run *run)
+{
+    if (run->reservation == NULL)
+        return;
+    const struct ow_amounts *need = &run->job->spec->submission->need;
+    for (guint i = 0; i < run->reservation->holds->len; i++) {
+        struct ow_machine *m = g_array_index(run->reservation->holds, struct ow_hold, i).machine;
+        m->held.cpus += need->cpus;
+        m->held.gpus += need->gpus;
+        m->held.memory_gb += need->memory_gb;
+    }
+}
--- /dev/null
+++ b/src/core/run.c
@@ -0,0 +1,201 @@
+/* Runs of jobs, their attempts, and what teams use. */
+#include "core/lead_state.h"
+
+#include <string.h>
+
+static void add(struct ow_amounts *sum, const struct ow_amounts *need, double sign)
+{
+    sum->cpus += sign * need->cpus;
+    sum->gpus += sign * need->gpus;
+    sum->memory_gb += sign * need->memory_gb;
+}
+
+struct ow_amounts *ow_team_used(struct ow_lead *lead, int team)
+{
+    guint wanted = (guint)team + 1;
+    if (wanted > lead->team_count) {
+        lead->team_used = g_renew(struct ow_amounts, lead->team_used, wanted);
+        memset(lead->team_used + lead->team_count, 0, (wanted - lead->team_count) * sizeof *lead->team_used);
+        lead->team_count = wanted;
+    }
+    return &lead->team_used[team];
+}
+
+static uint32_t admits(double limit, double used, double need, uint32_t wanted)
+{
+    if (limit <= 0 || need <= 0)
+        return wanted;
+    double left = (limit - used + 1e-6) / need;
+    return left <= 0 ? 0 : (uint32_t)MIN((double)wanted, left);
+}
+
+uint32_t ow_team_admits(struct ow_lead *lead, const struct ow_spec *spec, uint32_t wanted)
+{
+    const struct ow_amounts *used = ow_team_used(lead, spec->team);
+    const struct ow_amounts *need = &spec->submission->need;
+    const GArray *teams = lead->node->settings->teams;
+    for (guint i = 0; i < teams->len; i++) {
+        const struct ow_team_settings *t = &g_array_index(teams, struct ow_team_settings, i);
+        if (strcmp(t->name, spec->submission->team) == 0) {
+            wanted = admits(t->cpus_max, used->cpus, need->cpus, wanted);
+            return admits(t->gpus_max, used->gpus, need->gpus, wanted);
+        }
+    }
+    return 0;
+}
+
+struct ow_run *ow_run_get(struct ow_lead *lead, struct ow_job *job)
+{
+    if (job->run != NULL)
+        return job->run;
+    struct ow_run *run = g_new0(struct ow_run, 1);
+    run->job = job;
+    run->count = job->spec->submission->tasks;
+    run->tasks = g_new0(struct ow_task, run->count);
+    run->attempts = g_ptr_array_new();
+    run->chunk_count = (run->count + OW_CHUNK_TASKS - 1) / OW_CHUNK_TASKS;
+    run->chunks = g_new0(struct ow_chunk, run->chunk_count);
+    for (uint32_t i = 0; i < run->chunk_count; i++)
+        run->chunks[i] = (struct ow_chunk){.job = job, .index = i};
+    run->bad_machines = g_hash_table_new(NULL, NULL);
+    job->run = run;
+    g_ptr_array_add(lead->runs, run);
+    lead->dirty = true;
+    return run;
+}
+
+void ow_run_drop(struct ow_lead *lead, struct ow_run *run)
+{
+    struct ow_job *job = run->job;
+    ow_recorder_forget(lead, run);
+    ow_reservation_free(run->reservation);
+    for (guint i = 0; i < run->attempts->len; i++)
+        g_free(g_ptr_array_index(run->attempts, i));
+    g_ptr_array_free(run->attempts, TRUE);
+    g_hash_table_destroy(run->bad_machines);
+    g_free(run->chunks);
+    g_free(run->tasks);
+    g_ptr_array_remove_fast(lead->runs, run);
+    g_free(run);
+    job->run = NULL;
+}
+
+struct ow_attempt *ow_attempt_new(struct ow_lead *lead, struct ow_run *run, uint32_t task, uint64_t number,
+                                  struct ow_machine *machine, uint64_t session)
+{
+    struct ow_attempt *at = g_new0(struct ow_attempt, 1);
+    const struct ow_amounts *need = &run->job->spec->submission->need;
+    at->job = run->job;
+    at->task = task;
+    at->number = number;
+    at->machine = machine;
+    at->session = session;
+    at->placed_at = lead->node->now;
+    run->tasks[task].attempt = at;
+    g_ptr_array_add(run->attempts, at);
+    g_ptr_array_add(machine->attempts, at);
+    add(&machine->used, need, 1);
+    add(ow_team_used(lead, run->job->spec->team), need, 1);
+    return at;
+}
+
+static void detach(struct ow_lead *lead, struct ow_attempt *at)
+{
+    struct ow_run *run = at->job->run;
+    struct ow_machine *m = at->machine;
+    const struct ow_amounts *need = &at->job->spec->submission->need;
+    g_ptr_array_remove_fast(run->attempts, at);
+    g_ptr_array_remove_fast(m->attempts, at);
+    add(&m->used, need, -1);
+    add(ow_team_used(lead, at->job->spec->team), need, -1);
+    if (m->attempts->len == 0) {
+        m->used = (struct ow_amounts){0}; /* sums of fractions drift */
+        m->idle_since = lead->node->now;
+    }
+    if (at->state == OW_AT_SEEN && at->phase == OW_RUNNING)
+        run->running--;
+    run->tasks[at->task].attempt = NULL;
+    run->cursor = MIN(run->cursor, at->task);
+}
+
+static void mark_done(struct ow_run *run, uint32_t task)
+{
+    if (run->tasks[task].done)
+        return;
+    run->tasks[task].done = true;
+    run->done++;
+}
+
+/* The tasks of a gang complete together: one result is everybody's. */
+static void take_result(struct ow_lead *lead, struct ow_run *run, uint32_t task)
+{
+    mark_done(run, task);
+    run->failures = 0;
+    if (!run->job->spec->submission->gang)
+        return;
+    for (uint32_t i = 0; i < run->count; i++) {
+        mark_done(run, i);
+        ow_recorder_chunk(lead, run, i, false);
+    }
+}
+
+void ow_attempt_end(struct ow_lead *lead, struct ow_attempt *at, enum ow_cause cause, const char *proof)
+{
+    struct ow_run *run = at->job->run;
+    uint32_t task = at->task;
+    struct ow_machine *m = at->machine;
+    g_debug("task %s/%u attempt %" G_GUINT64_FORMAT " on %s is gone: %s", at->job->id, task, at->number, m->name,
+            proof);
+    detach(lead, at);
+    bool stopped = at->stop;
+    g_free(at);
+    lead->dirty = true;
+    ow_recorder_chunk(lead, run, task, false);
+    if (cause == OW_CAUSE_DONE) {
+        m->errors = 0;
+        take_result(lead, run, task);
+        return;
+    }
+    if (cause == OW_CAUSE_ERROR)
+        ow_care_error(lead, m, run);
+    if (cause == OW_CAUSE_UNKNOWN || cause == OW_CAUSE_FULL || cause == OW_CAUSE_BUSY)
+        run->ready_at = MAX(run->ready_at, lead->node->now + 1);
+    /* One that is gone, or refused, ends the gang's attempt: the others would wait or fail, too. */
+    if (run->job->spec->submission->gang && !stopped && !run->tasks[task].done)
+        ow_run_stop(lead, run, 0, "another task of the gang is gone");
+}
+
+void ow_attempt_stop(struct ow_lead *lead, struct ow_attempt *at, double grace_s, const char *why)
+{
+    if (at->stop && at->stop_grace_s <= grace_s)
+        return;
+    if (!at->stop)
+        g_info("task %s/%u on %s is stopped, grace %.1f s: %s", at->job->id, at->task, at->machine->name, grace_s,
+               why);
+    at->stop = true;
+    at->stop_grace_s = grace_s;
+    at->stop_at = lead->node->now;
+    if (at->state == OW_AT_PLANNED || at->state == OW_AT_COMMITTED)
+        ow_attempt_end(lead, at, OW_CAUSE_STOPPED, "no launch has left");
+    else
+        at->machine->direct_wanted = true;
+}
+
+void ow_run_stop(struct ow_lead *lead, struct ow_run *run, double grace_s, const char *why)
+{
+    for (guint i = run->attempts->len; i > 0; i--)
+        if (i <= run->attempts->len)
+            ow_attempt_stop(lead, g_ptr_array_index(run->attempts, i - 1), grace_s, why);
+}
+
+uint32_t ow_run_pending(const struct ow_run *run)
+{
+    if (ow_job_over(run->job))
+        return 0;
+    uint32_t live = 0;
+    for (guint i = 0; i < run->attempts->len; i++) {
+        const struct ow_attempt *at = g_ptr_array_index(run->attempts, i);
+        live += run->tasks[at->task].done ? 0 : 1;
+    }
+    return run->count - run->done - live;
+}
--- /dev/null
+++ b/src/core/schedule.c
@@ -0,0 +1,127 @@
+/* The scheduling pass: who comes first, and what becomes of jobs that are over. */
+#include "core/lead_state.h"
+
+#include <string.h>
+
+static void settle(struct ow_lead *lead, struct ow_job *job)
+{
+    struct ow_run *run = ow_run_get(lead, job);
+    if (job->stance == OW_DONE) {
+        /* Its last record was carried out although the answer was lost. */
+        ow_run_drop(lead, run);
+        ow_jobs_close(lead->node->jobs, job);
+        return;
+    }
+    if (job->stance == OW_CANCELLED)
+        ow_run_stop(lead, run, 0, "its job is cancelled");
+    if (run->attempts->len == 0 && (job->stance == OW_CANCELLED || run->done == run->count))
+        ow_recorder_finish(lead, run);
+}
+
+void ow_schedule_jobs(struct ow_lead *lead)
+{
+    const GPtrArray *open = ow_jobs_open(lead->node->jobs);
+    lead->gpu_cpus = 0;
+    for (guint i = open->len; i > 0; i--) {
+        struct ow_job *job = g_ptr_array_index(open, i - 1);
+        const struct ow_amounts *need = &job->spec->submission->need;
+        if (need->gpus > 0)
+            lead->gpu_cpus = MAX(lead->gpu_cpus, need->cpus / need->gpus);
+        settle(lead, job);
+    }
+}
+
+struct entry {
+    struct ow_run *run;
+    int rank;
+    bool borrowing; /* beyond its team's guarantee */
+};
+
+static bool within(double guarantee, double used, double need)
+{
+    return need <= 0 || used + need <= guarantee + 1e-6;
+}
+
+/* Whether the team stays within its guarantee with the job's waiting tasks. */
+static bool guaranteed(struct ow_lead *lead, const struct ow_run *run)
+{
+    const struct ow_spec *spec = run->job->spec;
+    const struct ow_amounts *used = ow_team_used(lead, spec->team);
+    double waiting = ow_run_pending(run);
+    const GArray *teams = lead->node->settings->teams;
+    for (guint i = 0; i < teams->len; i++) {
+        const struct ow_team_settings *t = &g_array_index(teams, struct ow_team_settings, i);
+        if (strcmp(t->name, spec->submission->team) != 0)
+            continue;
+        return within(t->cpus, used->cpus, waiting * spec->submission->need.cpus) &&
+               within(t->gpus, used->gpus, waiting * spec->submission->need.gpus);
+    }
+    return false;
+}
+
+static gint by_line(gconstpointer a, gconstpointer b)
+{
+    const struct entry *x = a, *y = b;
+    if (x->rank != y->rank)
+        return x->rank < y->rank ? -1 : 1;
+    if (x->borrowing != y->borrowing)
+        return x->borrowing ? 1 : -1;
+    return x->run->job->place < y->run->job->place ? -1 : x->run->job->place > y->run->job->place;
+}
+
+static GArray *line(struct ow_lead *lead)
+{
+    GArray *entries = g_array_new(FALSE, FALSE, sizeof(struct entry));
+    for (guint i = 0; i < lead->runs->len; i++) {
+        struct ow_run *run = g_ptr_array_index(lead->runs, i);
+        if (ow_run_pending(run) == 0 || run->ready_at > lead->node->now)
+            continue;
+        struct entry e = {run, (int)run->job->spec->submission->rank, !guaranteed(lead, run)};
+        g_array_append_val(entries, e);
+    }
+    g_array_sort(entries, by_line);
+    return entries;
+}
+
+/* Room on machines where lower work is stopped for an array that fits nowhere else. It is booked for the
+   rest of the pass; in the next ones the array's rank keeps it. */
+static void array_makes_room(struct ow_lead *lead, struct ow_run *run)
+{
+    const struct ow_spec *spec = run->job->spec;
+    uint32_t wanted = ow_team_admits(lead, spec, ow_run_pending(run));
+    if (spec->submission->rank == OW_RANK_LOW || spec->submission->one_zone || spec->submission->spread)
+        return;
+    for (guint i = 0; i < lead->machines->len && wanted > 0; i++) {
+        struct ow_machine *m = g_ptr_array_index(lead->machines, i);
+        if (!ow_book_usable(lead, m) || !ow_place_allowed(lead, spec, m) ||
+            g_hash_table_contains(run->bad_machines, m))
+            continue;
+        uint32_t slots = MIN(wanted, ow_preempt_slots(lead, spec, m));
+        if (slots == 0 || !ow_preempt_make_room(lead, run, m, slots))
+            continue;
+        m->held.cpus += slots * spec->submission->need.cpus;
+        m->held.gpus += slots * spec->submission->need.gpus;
+        m->held.memory_gb += slots * spec->submission->need.memory_gb;
+        wanted -= slots;
+    }
+}
+
+void ow_schedule_pass(struct ow_lead *lead)
+{
+    for (guint i = 0; i < lead->machines->len; i++)
+        ((struct ow_machine *)g_ptr_array_index(lead->machines, i))->held = (struct ow_amounts){0};
+    GArray *entries = line(lead);
+    for (guint i = 0; i < entries->len; i++) {
+        struct ow_run *run = g_array_index(entries, struct entry, i).run;
+        if (run->job->spec->submission->gang) {
+            ow_reservation_try(lead, run);
+            ow_reservation_book(run);
+        } else {
+            ow_place_array(lead, run);
+            if (ow_run_pending(run) > 0)
+                array_makes_room(lead, run);
+        }
+        ow_reason_waits(lead, run);
+    }
+    g_array_free(entries, TRUE);
+}
--- /dev/null
+++ b/src/core/settings.c
@@ -0,0 +1,12 @@
+#include "core/settings.h"
+
+struct ow_rules ow_rules_default(void)
+{
+    return (struct ow_rules){
+        .window_s = 5,
+        .hold_life_s = 10,
+        .waiting_limit_s = 120,
+        .candidates = 3,
+        .leader_lease_s = 4,
+    };
+}
--- /dev/null
+++ b/src/core/settings.h
@@ -0,0 +1,49 @@
+/* What the platform's settings and the operators say, checked. Plain data, shared by all parts. */
+#ifndef OW_CORE_SETTINGS_H
+#define OW_CORE_SETTINGS_H
+
+#include <glib.h>
+
+struct ow_peer_settings {
+    char *node, *zone, *endpoint;
+};
+
+struct ow_team_settings {
+    char *name;
+    double cpus, cpus_max, gpus, gpus_max; /* 0: none */
+};
+
+enum ow_objective_kind { OW_OBJECTIVE_WAIT, OW_OBJECTIVE_FINISHED, OW_OBJECTIVE_OTHER };
+
+struct ow_objective {
+    enum ow_objective_kind kind;
+    char *class_name;
+    double within_s, share;
+};
+
+struct ow_settings {
+    char *node, *zone, *front, *peer_listen, *cloud, *state;
+    GArray *peers;      /* struct ow_peer_settings */
+    GArray *teams;      /* struct ow_team_settings */
+    GArray *objectives; /* struct ow_objective */
+    char **zones;
+    double report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s;
+    double state_rps, state_write_rps, value_kb;
+    unsigned txn_ops;
+    double cloud_rps, list_lag_s;
+    double core_share, memory_mb;
+    unsigned sockets;
+};
+
+/* The operators' own: starting values of the design, and how patient the service is. */
+struct ow_rules {
+    double window_s;        /* how long a gang collects holds at most (the paper's D_c) */
+    double hold_life_s;     /* an unrenewed hold is dropped after it */
+    double waiting_limit_s; /* a short gang's holds drop after it; its place stays */
+    unsigned candidates;    /* holds collected for each member at most */
+    double leader_lease_s;  /* the life of the coordinator's lease in the state service */
+};
+
+struct ow_rules ow_rules_default(void);
+
+#endif
--- /dev/null
+++ b/src/core/store.c
@@ -0,0 +1,61 @@
+#include "core/store.h"
+
+static void condition_clear(void *item)
+{
+    g_free(((struct ow_condition *)item)->key);
+}
+
+static void change_clear(void *item)
+{
+    struct ow_change *change = item;
+    g_free(change->key);
+    g_free(change->value);
+}
+
+struct ow_store_request *ow_store_request_new(enum ow_store_op op, const char *key)
+{
+    struct ow_store_request *r = g_new0(struct ow_store_request, 1);
+    r->op = op;
+    r->key = g_strdup(key);
+    if (op == OW_STORE_TXN) {
+        r->conditions = g_array_new(FALSE, FALSE, sizeof(struct ow_condition));
+        g_array_set_clear_func(r->conditions, condition_clear);
+        r->changes = g_array_new(FALSE, FALSE, sizeof(struct ow_change));
+        g_array_set_clear_func(r->changes, change_clear);
+    }
+    return r;
+}
+
+void ow_store_request_free(struct ow_store_request *r)
+{
+    if (r == NULL)
+        return;
+    g_free(r->key);
+    g_free(r->after);
+    if (r->conditions != NULL)
+        g_array_free(r->conditions, TRUE);
+    if (r->changes != NULL)
+        g_array_free(r->changes, TRUE);
+    g_free(r);
+}
+
+void ow_store_expect(struct ow_store_request *request, const char *key, uint64_t version)
+{
+    struct ow_condition condition = {g_strdup(key), version};
+    g_array_append_val(request->conditions, condition);
+}
+
+void ow_store_write(struct ow_store_request *request, const char *key, char *value, uint64_t lease)
+{
+    struct ow_change change = {g_strdup(key), value, lease};
+    g_array_append_val(request->changes, change);
+}
+
+void ow_store_reply_clear(struct ow_store_reply *reply)
+{
+    if (reply->items != NULL)
+        g_array_free(reply->items, TRUE);
+    g_strfreev(reply->failed);
+    reply->items = NULL;
+    reply->failed = NULL;
+}
--- /dev/null
+++ b/src/io/client.c
@@ -0,0 +1,159 @@
+#include "io/client.h"
+
+#include "io/http_client.h"
+#include "io/net.h"
+#include "wire/json.h"
+#include "wire/words.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+
+static const double TIMEOUT_S = 5;
+
+struct exchange {
+    bool ended;
+    int status;
+    GString *body;
+};
+
+static void take_answer(void *owner, uint64_t tag, int status, const char *body, size_t size)
+{
+    struct exchange *x = owner;
+    (void)tag;
+    x->ended = true;
+    x->status = status;
+    g_string_append_len(x->body, body, (gssize)size);
+}
+
+struct sweeping {
+    struct ow_http_client *client;
+};
+
+static double sweep(void *owner, double now)
+{
+    ow_http_client_sweep(((struct sweeping *)owner)->client, now);
+    return 0.1;
+}
+
+static int request(const char *server, const char *method, const char *path, const char *body, GString *answer)
+{
+    struct exchange x = {.body = answer};
+    struct ow_loop *loop = ow_loop_new();
+    struct sweeping s = {ow_http_client_new(loop, take_answer, &x)};
+    ow_http_client_send(s.client, server, method, path, body, TIMEOUT_S, 1);
+    while (!x.ended)
+        ow_loop_once(loop, sweep, &s);
+    ow_http_client_free(s.client);
+    ow_loop_free(loop);
+    return x.status;
+}
+
+static void print_job(const json_t *o)
+{
+    const char *id = "", *state = "", *reason = NULL;
+    uint64_t done = 0, running = 0;
+    wj_string(o, W_ID, &id);
+    wj_string(o, W_STATE, &state);
+    printf("%s: %s", id, state);
+    if (wj_count(o, W_DONE_COUNT, &done))
+        printf(", %" G_GUINT64_FORMAT " tasks done", done);
+    if (wj_count(o, W_RUNNING_COUNT, &running))
+        printf(", %" G_GUINT64_FORMAT " running", running);
+    if (wj_string(o, W_REASON, &reason))
+        printf("\nwaits: %s", reason);
+    printf("\n");
+}
+
+static void print_amounts(const json_t *team, const char *field)
+{
+    const json_t *o = json_object_get(team, field);
+    double cpus = 0, gpus = 0, memory = 0;
+    wj_number(o, W_CPUS, &cpus);
+    wj_number(o, W_GPUS, &gpus);
+    wj_number(o, W_MEMORY, &memory);
+    printf(", %s: %g CPUs, %g GPUs, %g GB", field, cpus, gpus, memory);
+}
+
+static void print_teams(const json_t *o)
+{
+    size_t i;
+    json_t *team;
+    json_array_foreach(json_object_get(o, "teams"), i, team)
+    {
+        const char *name = "";
+        uint64_t jobs = 0, waiting = 0;
+        wj_string(team, W_TEAM, &name);
+        wj_count(team, "jobs", &jobs);
+        wj_count(team, "waiting_jobs", &waiting);
+        printf("%s: %" G_GUINT64_FORMAT " jobs, %" G_GUINT64_FORMAT " with waiting tasks", name, jobs, waiting);
+        print_amounts(team, "running");
+        print_amounts(team, "waiting");
+        printf("\n");
+    }
+}
+
+static int print_answer(int status, const GString *answer, bool teams)
+{
+    json_t *o = wj_object(answer->str, answer->len);
+    const char *fault = "no readable answer";
+    bool ok = (status == 200 || status == 201) && o != NULL;
+    if (ok && teams)
+        print_teams(o);
+    else if (ok)
+        print_job(o);
+    else if (status == 0)
+        fprintf(stderr, "ospreywell: the controller does not answer\n");
+    else {
+        wj_string(o, "error", &fault);
+        fprintf(stderr, "ospreywell: status %d: %s\n", status, fault);
+    }
+    json_decref(o);
+    return ok ? 0 : 1;
+}
+
+static char *read_job(const char *file)
+{
+    char *text = NULL;
+    GError *error = NULL;
+    if (!g_file_get_contents(strcmp(file, "-") == 0 ? "/dev/stdin" : file, &text, NULL, &error)) {
+        fprintf(stderr, "ospreywell: %s\n", error->message);
+        g_error_free(error);
+    }
+    return text;
+}
+
+static int exchange(const char *server, const char *method, char *path, char *body, bool teams)
+{
+    GString *answer = g_string_new(NULL);
+    int status = request(server, method, path, body, answer);
+    int result = print_answer(status, answer, teams);
+    g_string_free(answer, TRUE);
+    g_free(path);
+    g_free(body);
+    return result;
+}
+
+int ow_client_run(const char *server, char **words)
+{
+    const char *verb = words[0], *what = words[1];
+    bool one = what != NULL && words[2] == NULL;
+    if (!ow_net_endpoint_valid(server)) {
+        fprintf(stderr, "ospreywell: --server ADDRESS:PORT or OSPREYWELL_SERVER is needed\n");
+        return 2;
+    }
+    if (strcmp(verb, "submit") == 0 && one) {
+        char *job = read_job(what);
+        return job != NULL ? exchange(server, "POST", g_strdup(W_PATH_JOBS), job, false) : 1;
+    }
+    if (strcmp(verb, "show") == 0 && one)
+        return exchange(server, "GET", g_strconcat(W_PATH_JOBS, "/", what, NULL), NULL, false);
+    if (strcmp(verb, "cancel") == 0 && one)
+        return exchange(server, "POST", g_strconcat(W_PATH_JOBS, "/", what, "/", W_PATH_CANCEL, NULL),
+                        g_strdup("{}"), false);
+    if (strcmp(verb, "teams") == 0 && what == NULL)
+        return exchange(server, "GET", g_strdup(W_PATH_TEAMS), NULL, true);
+    fprintf(stderr, "ospreywell: %s: not a command, or wrong words behind it; see --help\n", verb);
+    return 2;
+}
--- /dev/null
+++ b/src/io/http_client.h
@@ -0,0 +1,23 @@
+/* The HTTP client: keeps connections per endpoint and reports every request's end exactly once. */
+#ifndef OW_IO_HTTP_CLIENT_H
+#define OW_IO_HTTP_CLIENT_H
+
+#include "io/loop.h"
+
+#include <stddef.h>
+#include <stdint.h>
+
+struct ow_http_client;
+
+/* Status 0: no response; the request might have been carried out. */
+typedef void (*ow_http_reply_fn)(void *owner, uint64_t tag, int status, const char *body, size_t size);
+
+struct ow_http_client *ow_http_client_new(struct ow_loop *loop, ow_http_reply_fn reply, void *owner);
+void ow_http_client_free(struct ow_http_client *client);
+/* `body` may be NULL. The reply never comes from inside this call. */
+void ow_http_client_send(struct ow_http_client *client, const char *endpoint, const char *method,
+                         const char *path, const char *body, double timeout_s, uint64_t tag);
+/* Ends requests that are out of time and closes connections long unused. */
+void ow_http_client_sweep(struct ow_http_client *client, double now);
+
+#endif
--- /dev/null
+++ b/src/io/net.c
@@ -0,0 +1,110 @@
+#include "io/net.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+static bool parse_endpoint(const char *endpoint, struct sockaddr_in *addr)
+{
+    const char *colon = endpoint != NULL ? strrchr(endpoint, ':') : NULL;
+    char host[64];
+    if (colon == NULL || (size_t)(colon - endpoint) >= sizeof host)
+        return false;
+    memcpy(host, endpoint, (size_t)(colon - endpoint));
+    host[colon - endpoint] = '\0';
+    guint64 port = 0;
+    if (!g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &port, NULL))
+        return false;
+    memset(addr, 0, sizeof *addr);
+    addr->sin_family = AF_INET;
+    addr->sin_port = htons((uint16_t)port);
+    return inet_pton(AF_INET, host, &addr->sin_addr) == 1;
+}
+
+bool ow_net_endpoint_valid(const char *endpoint)
+{
+    struct sockaddr_in addr;
+    return parse_endpoint(endpoint, &addr);
+}
+
+static int new_socket(void)
+{
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd >= 0) {
+        int one = 1;
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    }
+    return fd;
+}
+
+int ow_net_listen(const char *endpoint)
+{
+    struct sockaddr_in addr;
+    if (!parse_endpoint(endpoint, &addr))
+        return -1;
+    int fd = new_socket();
+    if (fd < 0)
+        return -1;
+    int one = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    if (bind(fd, (struct sockaddr *)&addr, sizeof addr) != 0 || listen(fd, 256) != 0) {
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
+
+int ow_net_connect(const char *endpoint)
+{
+    struct sockaddr_in addr;
+    if (!parse_endpoint(endpoint, &addr))
+        return -1;
+    int fd = new_socket();
+    if (fd < 0)
+        return -1;
+    if (connect(fd, (struct sockaddr *)&addr, sizeof addr) != 0 && errno != EINPROGRESS) {
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
+
+int ow_net_accept(int listener)
+{
+    int fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+        int one = 1;
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    }
+    return fd;
+}
+
+int ow_net_connect_error(int fd)
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0)
+        return errno;
+    return error;
+}
+
+bool ow_net_flush(int fd, GString *out, size_t *sent)
+{
+    while (*sent < out->len) {
+        ssize_t n = send(fd, out->str + *sent, out->len - *sent, MSG_NOSIGNAL);
+        if (n < 0) {
+            if (errno == EINTR)
+                continue;
+            return errno == EAGAIN || errno == EWOULDBLOCK;
+        }
+        *sent += (size_t)n;
+    }
+    g_string_truncate(out, 0);
+    *sent = 0;
+    return true;
+}
--- /dev/null
+++ b/src/io/peer_link.h
@@ -0,0 +1,21 @@
+/* Links between controllers: one outgoing connection to each, kept up; whatever comes in is handed over. */
+#ifndef OW_IO_PEER_LINK_H
+#define OW_IO_PEER_LINK_H
+
+#include "core/effects.h"
+#include "io/loop.h"
+
+struct ow_peer_links;
+
+/* Takes over the message. */
+typedef void (*ow_peer_fn)(void *owner, struct ow_peer_message *message);
+
+struct ow_peer_links *ow_peer_links_new(struct ow_loop *loop, const char *listen_endpoint, ow_peer_fn take,
+                                        void *owner);
+void ow_peer_links_free(struct ow_peer_links *links);
+void ow_peer_links_add(struct ow_peer_links *links, const char *endpoint);
+void ow_peer_links_tell(struct ow_peer_links *links, const struct ow_peer_message *message);
+/* Opens lost links again and drops those that take nothing; to be called now and then. */
+void ow_peer_links_sweep(struct ow_peer_links *links, double now);
+
+#endif
--- /dev/null
+++ b/src/io/service.h
@@ -0,0 +1,17 @@
+/* The serving process: turns requests into commands for the core, and its effects into requests. */
+#ifndef OW_IO_SERVICE_H
+#define OW_IO_SERVICE_H
+
+#include "core/settings.h"
+#include "io/loop.h"
+
+struct ow_service;
+
+/* NULL if an address can't be listened on; *fault then says which (g_free). */
+struct ow_service *ow_service_new(struct ow_loop *loop, const struct ow_settings *settings,
+                                  const struct ow_rules *rules, char **fault);
+void ow_service_free(struct ow_service *service);
+/* The loop's round. */
+double ow_service_round(void *service, double now);
+
+#endif
--- /dev/null
+++ b/src/wire/json.c
@@ -0,0 +1,83 @@
+#include "wire/json.h"
+
+#include <glib.h>
+#include <math.h>
+#include <stdlib.h>
+
+json_t *wj_object(const char *text, size_t size)
+{
+    json_error_t error;
+    json_t *value = json_loadb(text, size, JSON_REJECT_DUPLICATES, &error);
+    if (value != NULL && !json_is_object(value)) {
+        json_decref(value);
+        return NULL;
+    }
+    return value;
+}
+
+char *wj_text(const json_t *value)
+{
+    char *text = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
+    char *copy = g_strdup(text);
+    free(text);
+    return copy;
+}
+
+bool wj_absent(const json_t *object, const char *field)
+{
+    const json_t *value = json_object_get(object, field);
+    return value == NULL || json_is_null(value);
+}
+
+bool wj_string(const json_t *object, const char *field, const char **out)
+{
+    const json_t *value = json_object_get(object, field);
+    if (!json_is_string(value))
+        return false;
+    *out = json_string_value(value);
+    return true;
+}
+
+bool wj_number(const json_t *object, const char *field, double *out)
+{
+    const json_t *value = json_object_get(object, field);
+    if (!json_is_number(value) || !isfinite(json_number_value(value)))
+        return false;
+    *out = json_number_value(value);
+    return true;
+}
+
+bool wj_count(const json_t *object, const char *field, uint64_t *out)
+{
+    const json_t *value = json_object_get(object, field);
+    if (!json_is_integer(value) || json_integer_value(value) < 0)
+        return false;
+    *out = (uint64_t)json_integer_value(value);
+    return true;
+}
+
+bool wj_bool(const json_t *object, const char *field, bool *out)
+{
+    const json_t *value = json_object_get(object, field);
+    if (!json_is_boolean(value))
+        return false;
+    *out = json_is_true(value);
+    return true;
+}
+
+char **wj_strings(const json_t *array)
+{
+    if (!json_is_array(array))
+        return NULL;
+    size_t count = json_array_size(array);
+    char **list = g_new0(char *, count + 1);
+    for (size_t i = 0; i < count; i++) {
+        const char *text = json_string_value(json_array_get(array, i));
+        if (text == NULL) {
+            g_strfreev(list);
+            return NULL;
+        }
+        list[i] = g_strdup(text);
+    }
+    return list;
+}
--- /dev/null
+++ b/src/wire/json.h
@@ -0,0 +1,26 @@
+/* Small readers over jansson, shared by the files of wire/. */
+#ifndef OW_WIRE_JSON_H
+#define OW_WIRE_JSON_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* NULL unless the text is one JSON object. */
+json_t *wj_object(const char *text, size_t size);
+/* The text of a value, owned by the caller (free with g_free). */
+char *wj_text(const json_t *value);
+
+/* Each leaves *out alone and answers false if the field is missing, null or of another type. */
+bool wj_string(const json_t *object, const char *field, const char **out);
+bool wj_number(const json_t *object, const char *field, double *out);
+bool wj_count(const json_t *object, const char *field, uint64_t *out);
+bool wj_bool(const json_t *object, const char *field, bool *out);
+
+/* A field that is missing or null counts as absent. */
+bool wj_absent(const json_t *object, const char *field);
+/* The strings of an array as a vector, or NULL if it is none. */
+char **wj_strings(const json_t *array);
+
+#endif
--- /dev/null
+++ b/src/wire/records_json.c
@@ -0,0 +1,213 @@
+#include "wire/records_json.h"
+
+#include "wire/cloud_json.h"
+#include "wire/json.h"
+#include "wire/user_json.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Field names of our own records are short: values have a size limit. */
+#define F_STANCE "e"
+#define F_SUBMISSION "s"
+#define F_LAST "a"
+#define F_DONE "d"
+#define F_LIVE "l"
+#define F_NODE "node"
+#define F_NONCE "nonce"
+
+static char *take_text(json_t *o)
+{
+    char *text = wj_text(o);
+    json_decref(o);
+    return text;
+}
+
+char *wire_job_record(const struct ow_job_record *record)
+{
+    json_t *o = json_object();
+    if (record->stance == OW_DONE || record->stance == OW_CANCELLED)
+        json_object_set_new(o, F_STANCE, json_integer(record->stance));
+    if (record->submission != NULL)
+        json_object_set_new(o, F_SUBMISSION, wire_submission_json(record->submission));
+    return take_text(o);
+}
+
+bool wire_job_record_parse(const json_t *value, struct ow_job_record *out)
+{
+    uint64_t stance = OW_QUEUED;
+    const char *fault = NULL;
+    memset(out, 0, sizeof *out);
+    bool over = wj_count(value, F_STANCE, &stance);
+    out->stance = (enum ow_stance)stance;
+    const json_t *submission = json_object_get(value, F_SUBMISSION);
+    if (submission != NULL)
+        out->submission = wire_submission_from(submission, &fault);
+    return over ? stance == OW_DONE || stance == OW_CANCELLED : out->submission != NULL;
+}
+
+/* Appends "from", or "from-to", and a comma if it is not the first. */
+static void append_range(GString *text, uint32_t from, uint32_t to)
+{
+    if (text->len > 0)
+        g_string_append_c(text, ',');
+    g_string_append_printf(text, "%u", from);
+    if (to > from)
+        g_string_append_printf(text, "-%u", to);
+}
+
+static char *done_text(const GArray *done)
+{
+    GString *text = g_string_new(NULL);
+    for (guint i = 0; i < done->len;) {
+        uint32_t from = g_array_index(done, uint32_t, i), to = from;
+        for (i++; i < done->len && g_array_index(done, uint32_t, i) == to + 1; i++)
+            to++;
+        append_range(text, from, to);
+    }
+    return g_string_free(text, FALSE);
+}
+
+static bool same_place(const struct ow_live_record *a, const struct ow_live_record *b)
+{
+    return a->session == b->session && strcmp(a->machine, b->machine) == 0;
+}
+
+/* The live attempts of one machine and session: "from-to@attempt,...". */
+static char *place_text(const GArray *live, guint *i)
+{
+    GString *text = g_string_new(NULL);
+    const struct ow_live_record *head = &g_array_index(live, struct ow_live_record, *i);
+    while (*i < live->len) {
+        const struct ow_live_record *first = &g_array_index(live, struct ow_live_record, *i);
+        if (!same_place(first, head))
+            break;
+        uint32_t to = first->task;
+        for (++*i; *i < live->len; ++*i) {
+            const struct ow_live_record *next = &g_array_index(live, struct ow_live_record, *i);
+            if (!same_place(next, head) || next->task != to + 1 || next->attempt != first->attempt)
+                break;
+            to++;
+        }
+        append_range(text, first->task, to);
+        g_string_append_printf(text, "@%" PRIu64, first->attempt);
+    }
+    return g_string_free(text, FALSE);
+}
+
+char *wire_progress_record(const struct ow_progress_record *record)
+{
+    json_t *live = json_object();
+    for (guint i = 0; i < record->live->len;) {
+        const struct ow_live_record *head = &g_array_index(record->live, struct ow_live_record, i);
+        char *place = g_strdup_printf("%s %" PRIu64, head->machine, head->session);
+        char *tasks = place_text(record->live, &i);
+        const char *before = json_string_value(json_object_get(live, place));
+        char *all = before != NULL ? g_strdup_printf("%s,%s", before, tasks) : g_strdup(tasks);
+        json_object_set_new(live, place, json_string(all));
+        g_free(all);
+        g_free(tasks);
+        g_free(place);
+    }
+    char *done = done_text(record->done);
+    json_t *o = json_pack("{s:I,s:s,s:o}", F_LAST, (json_int_t)record->last_attempt, F_DONE, done, F_LIVE, live);
+    g_free(done);
+    return take_text(o);
+}
+
+static bool parse_range(const char **text, uint32_t *from, uint32_t *to)
+{
+    char *end = NULL;
+    unsigned long a = strtoul(*text, &end, 10), b = a;
+    if (end == *text)
+        return false;
+    if (*end == '-')
+        b = strtoul(end + 1, &end, 10);
+    if (b < a || b >= OW_MAX_TASKS)
+        return false;
+    *from = (uint32_t)a;
+    *to = (uint32_t)b;
+    *text = end;
+    return true;
+}
+
+static bool parse_done(const char *text, GArray *done)
+{
+    while (*text != '\0') {
+        uint32_t from = 0, to = 0;
+        if (!parse_range(&text, &from, &to))
+            return false;
+        for (uint32_t task = from; task <= to; task++)
+            g_array_append_val(done, task);
+        if (*text == ',')
+            text++;
+    }
+    return true;
+}
+
+static bool parse_place(const char *machine, uint64_t session, const char *text, GArray *live)
+{
+    while (*text != '\0') {
+        uint32_t from = 0, to = 0;
+        char *end = NULL;
+        if (!parse_range(&text, &from, &to) || *text != '@')
+            return false;
+        uint64_t attempt = strtoull(text + 1, &end, 10);
+        for (uint32_t task = from; task <= to; task++) {
+            struct ow_live_record entry = {task, attempt, machine, session};
+            g_array_append_val(live, entry);
+        }
+        text = *end == ',' ? end + 1 : end;
+    }
+    return true;
+}
+
+bool wire_progress_record_parse(const json_t *value, struct ow_progress_record *out)
+{
+    const char *done = "";
+    out->last_attempt = 0;
+    out->done = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    out->live = g_array_new(FALSE, FALSE, sizeof(struct ow_live_record));
+    wj_string(value, F_DONE, &done);
+    bool ok = wj_count(value, F_LAST, &out->last_attempt) && parse_done(done, out->done);
+    const char *place;
+    json_t *tasks;
+    json_object_foreach(json_object_get(value, F_LIVE), place, tasks)
+    {
+        const char *space = strchr(place, ' ');
+        if (space == NULL || !json_is_string(tasks)) {
+            ok = false;
+            continue;
+        }
+        /* Interned: the key holds the session behind the name, and names are few. */
+        char *name = g_strndup(place, (gsize)(space - place));
+        const char *machine = g_intern_string(name);
+        g_free(name);
+        ok = parse_place(machine, strtoull(space + 1, NULL, 10), json_string_value(tasks), out->live) && ok;
+    }
+    return ok;
+}
+
+void wire_progress_record_clear(struct ow_progress_record *record)
+{
+    g_array_free(record->done, TRUE);
+    g_array_free(record->live, TRUE);
+}
+
+char *wire_coordinator_record(const char *node, const char *nonce)
+{
+    return take_text(json_pack("{s:s,s:s}", F_NODE, node, F_NONCE, nonce));
+}
+
+void wire_coordinator_record_parse(const json_t *value, const char **node, const char **nonce)
+{
+    *node = *nonce = NULL;
+    wj_string(value, F_NODE, node);
+    wj_string(value, F_NONCE, nonce);
+}
+
+char *wire_types_record(const GArray *types)
+{
+    return take_text(wire_types_json(types));
+}
--- /dev/null
+++ b/src/wire/records_json.h
@@ -0,0 +1,24 @@
+/* The stored form of our own records. */
+#ifndef OW_WIRE_RECORDS_JSON_H
+#define OW_WIRE_RECORDS_JSON_H
+
+#include "core/records.h"
+
+struct json_t;
+
+char *wire_job_record(const struct ow_job_record *record);
+bool wire_job_record_parse(const struct json_t *value, struct ow_job_record *out);
+
+char *wire_progress_record(const struct ow_progress_record *record);
+/* Machine names are interned and stay. */
+bool wire_progress_record_parse(const struct json_t *value, struct ow_progress_record *out);
+void wire_progress_record_clear(struct ow_progress_record *record);
+
+/* `nonce` tells two processes of the same name apart. */
+char *wire_coordinator_record(const char *node, const char *nonce);
+/* Both may come back NULL. */
+void wire_coordinator_record_parse(const struct json_t *value, const char **node, const char **nonce);
+
+char *wire_types_record(const GArray *types);
+
+#endif
--- /dev/null
+++ b/src/wire/user_json.h
@@ -0,0 +1,30 @@
+/* Bodies between users and the service, and the stored form of a job. */
+#ifndef OW_WIRE_USER_JSON_H
+#define OW_WIRE_USER_JSON_H
+
+#include "core/effects.h"
+
+#include <jansson.h>
+#include <stddef.h>
+
+/* NULL when malformed; *fault then names the field and what is wrong with it. */
+struct ow_submission *wire_submission_parse(const char *text, size_t size, const char **fault);
+struct ow_submission *wire_submission_from(const json_t *object, const char **fault);
+json_t *wire_submission_json(const struct ow_submission *submission);
+
+/* Whether this is the form of a job's id. */
+bool wire_job_id_valid(const char *id);
+
+struct ow_job_view {
+    const char *id;
+    enum ow_stance stance;
+    int done, running; /* OW_UNCOUNTED: left out */
+    const char *reason; /* why it waits, or NULL */
+};
+
+char *wire_job_view(const struct ow_job_view *view);
+/* struct ow_team_view each. */
+char *wire_teams(const GArray *teams);
+char *wire_error(const char *message);
+
+#endif
--- /dev/null
+++ b/src/wire/words.h
@@ -0,0 +1,106 @@
+/* The one table of every odd word of the platform's protocols. Nothing outside wire/ may spell them. */
+#ifndef OW_WIRE_WORDS_H
+#define OW_WIRE_WORDS_H
+
+/* Paths. */
+#define W_PATH_JOBS "/v2/runs"
+#define W_PATH_CANCEL "withdraw"
+#define W_PATH_HEALTH "/up"
+#define W_PATH_REPORT "/hello"
+#define W_PATH_COMMANDS "/commands"
+#define W_PATH_TYPES "/machine_types"
+#define W_PATH_MACHINES "/rentals"
+#define W_PATH_DELETE "/rentals/delete"
+#define W_PATH_KEYS "/keys"
+#define W_PATH_TXN "/txn"
+#define W_PATH_LEASES "/holds"
+#define W_PATH_RENEW "extend"
+#define W_PATH_WATCH "/follow"
+#define W_PATH_TEAMS "/v2/teams" /* ours */
+#define W_JOB_PREFIX "run-"
+
+/* Fields. */
+#define W_ID "ref"
+#define W_CLASS "flock"
+#define W_TEAM "roost"
+#define W_KIND "shape"
+#define W_RANK "rank"
+#define W_TASKS "talons"
+#define W_TASK "talon"
+#define W_CPUS "cores"
+#define W_GPUS "gpus"
+#define W_MEMORY "ram_gb"
+#define W_IMAGE "plumage"
+#define W_IMAGE_GB "image_gb"
+#define W_TYPES "breeds"
+#define W_TYPE "breed"
+#define W_ZONE "range"
+#define W_ZONES "ranges"
+#define W_ONE_ZONE "same_place"
+#define W_SPREAD "scatter"
+#define W_SPOT "windfall"
+#define W_ESTIMATE "flight_s"
+#define W_CHECKPOINT "molt_s"
+#define W_SAVE "preen_s"
+#define W_DEADLINE "dusk_s"
+#define W_STATE "stance"
+#define W_MACHINE "perch"
+#define W_MACHINES "perches"
+#define W_ADDR "addr"
+#define W_SESSION "stint"
+#define W_SEQ "chirp"
+#define W_TOKEN "crest"
+#define W_NOTICE "warning_s"
+#define W_ATTEMPT "dive"
+#define W_CAUSE "cause"
+#define W_SAVED "saved"
+#define W_COMMANDS "calls"
+#define W_OP "call"
+#define W_GRACE "glide_s"
+#define W_REPORT_TO "eyrie"
+#define W_NAME "name"
+#define W_CACHE "cache_gb"
+#define W_FETCH "pull_gb_per_s"
+#define W_PRICE "hourly"
+#define W_SPOT_PRICE "low_price"
+#define W_BOOT "boot_s"
+#define W_REQUEST "bid"
+#define W_COUNT "number"
+#define W_AFTER "since"
+#define W_LIMIT "most"
+#define W_AGE "age_s"
+#define W_MORE "has_next"
+#define W_REVISION "tide"
+#define W_VERSION "mark"
+#define W_LEASE "tether"
+#define W_KEY "k"
+#define W_VALUE "value"
+#define W_PREFIX "under"
+#define W_ITEMS "pairs"
+#define W_IF "if"
+#define W_THEN "apply"
+#define W_PUT "write"
+#define W_DELETE "drop"
+#define W_TTL "ttl_ms"
+#define W_WAIT "hold_ms"
+#define W_EVENTS "log"
+#define W_FAILED "failed"
+
+/* Ours, in answers to users. */
+#define W_DONE_COUNT "done"
+#define W_RUNNING_COUNT "running"
+#define W_REASON "reason"
+
+/* Values, in the order of the enums of core/types.h. */
+extern const char *const w_kinds[];     /* enum ow_kind */
+extern const char *const w_ranks[];     /* enum ow_rank */
+extern const char *const w_phases[];    /* enum ow_phase */
+extern const char *const w_causes[];    /* enum ow_cause */
+extern const char *const w_ops[];       /* enum ow_op */
+extern const char *const w_listed[];    /* enum ow_listed */
+extern const char *const w_stances[];   /* enum ow_stance */
+
+/* The index of `word` in a table ended by NULL, or -1. */
+int w_index(const char *const *table, const char *word);
+
+#endif
