--- /dev/null
+++ b/src/core/classes.c
@@ -0,0 +1,63 @@
+#include "core/classes.h"
+
+#include "core/node.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Weight of the newest run, and bounds that keep one odd job from ruling its class. */
+static const double NEWEST = 0.05, RATIO_LEAST = 0.3, RATIO_MOST = 4, NO_AIM_SLACK_S = 60;
+
+struct ow_class *ow_class_of(struct ow_node *node, int class_index)
+{
+    while (node->classes->len <= (guint)class_index) {
+        struct ow_class fresh = {.ratio = 1};
+        g_array_append_val(node->classes, fresh);
+    }
+    return &g_array_index(node->classes, struct ow_class, class_index);
+}
+
+void ow_class_saw_job(struct ow_node *node, const struct ow_spec *spec)
+{
+    struct ow_class *c = ow_class_of(node, spec->class_index);
+    const struct ow_submission *s = spec->submission;
+    c->estimate_s = c->seen ? c->estimate_s + 0.2 * (s->estimate_s - c->estimate_s) : s->estimate_s;
+    c->image_gb = MAX(c->image_gb, s->image_gb);
+    c->largest = MAX(c->largest, s->gang ? s->tasks : 1);
+    c->need = s->need;
+    c->gang = s->gang;
+    c->spot = s->spot;
+    c->types = spec->types;
+    c->seen = true;
+    c->seen_at = node->now;
+}
+
+void ow_class_saw_run(struct ow_node *node, const struct ow_spec *spec, double ran_s)
+{
+    struct ow_class *c = ow_class_of(node, spec->class_index);
+    if (spec->submission->estimate_s <= 0)
+        return;
+    double ratio = CLAMP(ran_s / spec->submission->estimate_s, RATIO_LEAST, RATIO_MOST);
+    c->ratio += NEWEST * (ratio - c->ratio);
+}
+
+double ow_class_run_s(struct ow_node *node, const struct ow_spec *spec)
+{
+    return spec->submission->estimate_s * ow_class_of(node, spec->class_index)->ratio;
+}
+
+double ow_class_slack_s(struct ow_node *node, int class_index)
+{
+    const struct ow_class *c = ow_class_of(node, class_index);
+    const char *name = ow_names_text(node->names.classes, class_index);
+    double slack = INFINITY;
+    for (guint i = 0; i < node->settings->objectives->len; i++) {
+        const struct ow_objective *o = &g_array_index(node->settings->objectives, struct ow_objective, i);
+        if (strcmp(o->class_name, name) != 0)
+            continue;
+        /* The longer runs are the ones that decide whether the aim is met. */
+        double run = o->kind == OW_OBJECTIVE_FINISHED ? 1.5 * c->estimate_s * c->ratio : 0;
+        slack = MIN(slack, MAX(0, o->within_s - run));
+    }
+    return slack < INFINITY ? slack : NO_AIM_SLACK_S;
+}
--- /dev/null
+++ b/src/core/classes.h
@@ -0,0 +1,29 @@
+/* What has been seen of each class of jobs, and what its aims leave to wait. */
+#ifndef OW_CORE_CLASSES_H
+#define OW_CORE_CLASSES_H
+
+#include "core/job.h"
+
+struct ow_node;
+
+struct ow_class {
+    double ratio; /* run time against the owners' estimates, as seen lately */
+    bool seen;
+    struct ow_amounts need; /* of the last job */
+    double estimate_s, image_gb;
+    uint32_t largest; /* tasks of the largest gang */
+    bool gang, spot;
+    uint64_t types;
+    double seen_at;
+};
+
+/* Grown as class names come; the pointer holds until the next call. */
+struct ow_class *ow_class_of(struct ow_node *node, int class_index);
+void ow_class_saw_job(struct ow_node *node, const struct ow_spec *spec);
+void ow_class_saw_run(struct ow_node *node, const struct ow_spec *spec, double ran_s);
+/* How long a task of the job runs, corrected by what its class has shown. */
+double ow_class_run_s(struct ow_node *node, const struct ow_spec *spec);
+/* How long a task of the class may wait for its start without missing an aim of its class. */
+double ow_class_slack_s(struct ow_node *node, int class_index);
+
+#endif
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -1,5 +1,6 @@
 #include "core/core.h"
 
+#include "core/classes.h"
 #include "core/door.h"
 #include "core/election.h"
 #include "core/lead.h"
@@ -126,6 +127,7 @@
     node->calls = ow_calls_new();
     node->names = (struct ow_name_tables){ow_names_new(), ow_names_new(), ow_names_new(), ow_names_new(),
                                           ow_names_new()};
+    node->classes = g_array_new(FALSE, FALSE, sizeof(struct ow_class));
     node->jobs = ow_jobs_new(&node->names);
     node->replica = ow_replica_new(node);
     node->election = ow_election_new(node);
@@ -155,6 +157,7 @@
     ow_names_free(node->names.images);
     ow_names_free(node->names.zones);
     ow_names_free(node->names.types);
+    g_array_free(node->classes, TRUE);
     g_hash_table_destroy(node->peers_ok);
     g_array_free(node->machine_hints, TRUE);
     g_ptr_array_free(node->effects, TRUE);
--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -2,6 +2,7 @@
 #ifndef OW_CORE_LEAD_STATE_H
 #define OW_CORE_LEAD_STATE_H
 
+#include "core/classes.h"
 #include "core/lead.h"
 #include "core/node.h"
 
@@ -63,6 +64,7 @@
     unsigned failures;      /* in a row, on several machines */
     GHashTable *bad_machines; /* machines where a task of it failed -> nothing */
     struct ow_reservation *reservation; /* of a waiting gang; owned by reservation.c */
+    double came_at;         /* when this coordinator first saw it */
     double started_at;      /* of its first task, 0: not yet */
 };
 
@@ -230,6 +232,8 @@
 /* schedule.c */
 void ow_schedule_pass(struct ow_lead *lead);
 void ow_schedule_jobs(struct ow_lead *lead);
+/* The runs with waiting tasks in the order of the line: struct ow_run *. */
+GPtrArray *ow_schedule_line(struct ow_lead *lead);
 
 /* placement.c */
 struct ow_room {
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -25,6 +25,7 @@
     struct ow_machine_type *types[OW_MAX_TYPES]; /* by name index; NULL: not known */
     bool types_known;
     double types_asked_at;
+    GArray *classes; /* struct ow_class, by class index; owned by classes.c */
     struct ow_replica *replica;
     struct ow_door *door;
     struct ow_election *election;
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -3,9 +3,40 @@
 
 #include <math.h>
 
-static const double LIST_S = 10, REFUSAL_S = 20, IDLE_S = 45;
+static const double LIST_S = 10, REFUSAL_S = 60, IDLE_S = 60;
+/* The share of a class's slack that may be spent on waiting for machines that are there. */
+static const double PATIENCE = 0.5;
 enum { RENT_MOST = 8 };
 
+/* ---- refusals ---- */
+
+static bool is_kind(const struct ow_rental_refusal *r, int type, int zone, bool spot)
+{
+    return r->type == type && r->zone == zone && r->spot == spot;
+}
+
+static bool refused(const struct ow_lead *lead, int type, int zone, bool spot)
+{
+    for (guint i = 0; i < lead->refusals->len; i++)
+        if (is_kind(&g_array_index(lead->refusals, struct ow_rental_refusal, i), type, zone, spot))
+            return true;
+    return false;
+}
+
+static void forget_refusal(struct ow_lead *lead, const struct ow_machine *m)
+{
+    for (guint i = lead->refusals->len; i > 0; i--)
+        if (is_kind(&g_array_index(lead->refusals, struct ow_rental_refusal, i - 1), m->type, m->zone, m->spot))
+            g_array_remove_index_fast(lead->refusals, i - 1);
+}
+
+static void forget_old_refusals(struct ow_lead *lead)
+{
+    for (guint i = lead->refusals->len; i > 0; i--)
+        if (g_array_index(lead->refusals, struct ow_rental_refusal, i - 1).until < lead->node->now)
+            g_array_remove_index_fast(lead->refusals, i - 1);
+}
+
 /* ---- deleting ---- */
 
 static void on_deleted(void *owner, void *data, const struct ow_command *answer)
@@ -16,6 +47,7 @@
         return;
     if (answer->cloud.status == 200) {
         g_info("machine %s is returned", m->name);
+        forget_refusal(lead, m); /* its place is free again */
         ow_book_remove(lead, m, "its machine is deleted");
     } else {
         m->deleting = true; /* it may be carried out yet: nothing new goes there */
@@ -95,6 +127,7 @@
     const char *type = ow_names_text(lead->node->names.types, call->type);
     const char *zone = ow_names_text(lead->node->names.zones, call->zone);
     lead->renting--;
+    lead->rent_at = lead->node->now; /* plan again with what this one has shown */
     if (answer->cloud.status != 200 || answer->cloud.rented == NULL || answer->cloud.rented[0] == NULL) {
         struct ow_rental_refusal refusal = {call->type, call->zone, call->spot, lead->node->now + REFUSAL_S};
         g_array_append_val(lead->refusals, refusal);
@@ -117,23 +150,6 @@
     bool to_rent;
 };
 
-static bool refused(const struct ow_lead *lead, int type, int zone, bool spot)
-{
-    for (guint i = 0; i < lead->refusals->len; i++) {
-        const struct ow_rental_refusal *r = &g_array_index(lead->refusals, struct ow_rental_refusal, i);
-        if (r->type == type && r->zone == zone && r->spot == spot)
-            return true;
-    }
-    return false;
-}
-
-static void forget_refusals(struct ow_lead *lead)
-{
-    for (guint i = lead->refusals->len; i > 0; i--)
-        if (g_array_index(lead->refusals, struct ow_rental_refusal, i - 1).until < lead->node->now)
-            g_array_remove_index_fast(lead->refusals, i - 1);
-}
-
 static GArray *coming_up(const struct ow_lead *lead)
 {
     GArray *list_ = g_array_new(FALSE, TRUE, sizeof(struct coming));
@@ -188,10 +204,54 @@
     return best < INFINITY;
 }
 
-static void plan_for(struct ow_lead *lead, const struct ow_run *run, GArray *plan, unsigned *most)
+/* Work that waits, and what is there to do it, in the scarcer of GPUs and CPUs. */
+struct backlog {
+    double gpu_s, cpu_s;
+};
+
+static double capacity(const struct ow_lead *lead, const struct ow_spec *spec, const GArray *plan)
+{
+    double sum = 0;
+    bool gpu = spec->submission->need.gpus > 0;
+    for (guint i = 0; i < lead->machines->len; i++) {
+        const struct ow_machine *m = g_ptr_array_index(lead->machines, i);
+        const struct ow_machine_type *type = ow_machine_spec(lead, m);
+        if (ow_book_usable(lead, m) && ow_place_allowed(lead, spec, m))
+            sum += gpu ? type->size.gpus : MAX(0, type->size.cpus - type->size.gpus * lead->gpu_cpus);
+    }
+    for (guint i = 0; i < plan->len; i++) {
+        const struct ow_machine *m = &g_array_index(plan, struct coming, i).machine;
+        const struct ow_machine_type *type = ow_machine_spec(lead, m);
+        if (type != NULL && ow_place_allowed(lead, spec, m))
+            sum += gpu ? type->size.gpus : MAX(0, type->size.cpus - type->size.gpus * lead->gpu_cpus);
+    }
+    return sum;
+}
+
+/* Whether the machines that are there or coming get to the job in time for the aims of its class. */
+static bool in_time(struct ow_lead *lead, const struct ow_run *run, const GArray *plan, struct backlog *ahead)
+{
+    const struct ow_spec *spec = run->job->spec;
+    const struct ow_amounts *need = &spec->submission->need;
+    bool gpu = need->gpus > 0;
+    double run_s = ow_class_run_s(lead->node, spec);
+    double *work = gpu ? &ahead->gpu_s : &ahead->cpu_s;
+    *work += ow_run_pending(run) * (gpu ? need->gpus : need->cpus) * run_s;
+    double there = capacity(lead, spec, plan);
+    if (there <= 0)
+        return false;
+    double waits = *work / there + run_s / 2;
+    double slack = ow_class_slack_s(lead->node, spec->class_index) - (lead->node->now - run->came_at);
+    return waits < PATIENCE * slack;
+}
+
+static void plan_for(struct ow_lead *lead, const struct ow_run *run, GArray *plan, struct backlog *ahead,
+                     unsigned *most)
 {
     const struct ow_spec *spec = run->job->spec;
     uint32_t wanted = ow_team_admits(lead, spec, ow_run_pending(run));
+    if (in_time(lead, run, plan, ahead))
+        return;
     for (guint i = 0; i < plan->len && wanted > 0; i++)
         wanted -= take_room(lead, spec, &g_array_index(plan, struct coming, i), wanted);
     struct coming c;
@@ -250,14 +310,14 @@
     /* One round at a time: a second plan must see what the first has brought. */
     if (lead->renting > 0 || lead->node->now - lead->ready_at < 4)
         return;
-    forget_refusals(lead);
+    forget_old_refusals(lead);
     GArray *plan = coming_up(lead);
+    GPtrArray *runs = ow_schedule_line(lead);
+    struct backlog ahead = {0};
     unsigned most = RENT_MOST;
-    for (guint i = 0; i < lead->runs->len; i++) {
-        const struct ow_run *run = g_ptr_array_index(lead->runs, i);
-        if (ow_run_pending(run) > 0 && run->ready_at <= lead->node->now)
-            plan_for(lead, run, plan, &most);
-    }
+    for (guint i = 0; i < runs->len; i++)
+        plan_for(lead, g_ptr_array_index(runs, i), plan, &ahead, &most);
+    g_ptr_array_free(runs, TRUE);
     rent_planned(lead, plan);
     g_array_free(plan, TRUE);
 }
@@ -275,15 +335,18 @@
     return false;
 }
 
-/* Whether aims are so tight that a machine rented at need would come too late. */
+/* Whether some class has so little slack that a machine rented at need would come too late for it. */
 static bool worth_keeping(const struct ow_lead *lead, const struct ow_machine *m)
 {
     const struct ow_machine_type *type = ow_machine_spec(lead, m);
-    const GArray *objectives = lead->node->settings->objectives;
-    for (guint i = 0; type != NULL && i < objectives->len; i++) {
-        const struct ow_objective *o = &g_array_index(objectives, struct ow_objective, i);
-        double slack = o->within_s - (o->kind == OW_OBJECTIVE_FINISHED ? 60 : 0);
-        if (slack < 1.5 * type->boot_s + 10 && type->size.gpus <= 0)
+    struct ow_node *node = lead->node;
+    for (guint i = 0; type != NULL && i < node->classes->len; i++) {
+        const struct ow_class *c = ow_class_of(node, (int)i);
+        bool fits = c->need.cpus <= type->size.cpus && c->need.gpus <= type->size.gpus &&
+                    c->need.memory_gb <= type->size.memory_gb && (c->types & (UINT64_C(1) << m->type)) != 0;
+        double fetch = type->fetch_gb_per_s > 0 ? c->image_gb / type->fetch_gb_per_s : 0;
+        if (c->seen && fits && (c->need.gpus > 0 || type->size.gpus <= 0) &&
+            ow_class_slack_s(node, (int)i) < 1.2 * type->boot_s + fetch + 10)
             return true;
     }
     return false;
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -50,6 +50,7 @@
         return job->run;
     struct ow_run *run = g_new0(struct ow_run, 1);
     run->job = job;
+    run->came_at = lead->node->now;
     run->count = job->spec->submission->tasks;
     run->tasks = g_new0(struct ow_task, run->count);
     run->attempts = g_ptr_array_new();
@@ -58,6 +59,7 @@
     for (uint32_t i = 0; i < run->chunk_count; i++)
         run->chunks[i] = (struct ow_chunk){.job = job, .index = i};
     run->bad_machines = g_hash_table_new(NULL, NULL);
+    ow_class_saw_job(lead->node, job->spec);
     job->run = run;
     g_ptr_array_add(lead->runs, run);
     lead->dirty = true;
@@ -146,8 +148,10 @@
     struct ow_machine *m = at->machine;
     g_debug("task %s/%u attempt %" G_GUINT64_FORMAT " on %s is gone: %s", at->job->id, task, at->number, m->name,
             proof);
-    detach(lead, at);
     bool stopped = at->stop;
+    if (cause == OW_CAUSE_DONE && at->running_at > 0)
+        ow_class_saw_run(lead->node, run->job->spec, lead->node->now - at->running_at);
+    detach(lead, at);
     g_free(at);
     lead->dirty = true;
     ow_recorder_chunk(lead, run, task, false);
--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -106,13 +106,23 @@
     }
 }
 
+GPtrArray *ow_schedule_line(struct ow_lead *lead)
+{
+    GArray *entries = line(lead);
+    GPtrArray *runs = g_ptr_array_new();
+    for (guint i = 0; i < entries->len; i++)
+        g_ptr_array_add(runs, g_array_index(entries, struct entry, i).run);
+    g_array_free(entries, TRUE);
+    return runs;
+}
+
 void ow_schedule_pass(struct ow_lead *lead)
 {
     for (guint i = 0; i < lead->machines->len; i++)
         ((struct ow_machine *)g_ptr_array_index(lead->machines, i))->held = (struct ow_amounts){0};
-    GArray *entries = line(lead);
-    for (guint i = 0; i < entries->len; i++) {
-        struct ow_run *run = g_array_index(entries, struct entry, i).run;
+    GPtrArray *runs = ow_schedule_line(lead);
+    for (guint i = 0; i < runs->len; i++) {
+        struct ow_run *run = g_ptr_array_index(runs, i);
         if (run->job->spec->submission->gang) {
             ow_reservation_try(lead, run);
             ow_reservation_book(run);
@@ -123,5 +133,5 @@
         }
         ow_reason_waits(lead, run);
     }
-    g_array_free(entries, TRUE);
+    g_ptr_array_free(runs, TRUE);
 }
