--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -163,11 +163,12 @@
 
     struct ow_bucket cloud;
     double list_at, types_at, rent_at, summary_at, care_at;
-    bool listing, types_busy;
+    bool listing, listed_once, types_busy;
     char *list_after;
     unsigned rentals;
     unsigned renting; /* calls under way */
     GArray *refusals; /* struct ow_rental_refusal */
+    int gpu_rank;     /* the most urgent rank among open jobs that need GPUs */
     double gpu_cpus;  /* CPUs that a GPU needs to be of use, by the jobs that are open */
 };
 
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -6,6 +6,8 @@
 static const double LIST_S = 10, REFUSAL_S = 60, IDLE_S = 60;
 /* The share of a class's slack that may be spent on waiting for machines that are there. */
 static const double PATIENCE = 0.5;
+/* Room kept ready beyond what a class uses, where a boot takes longer than it may wait. */
+static const double SPARE_SHARE = 0.25;
 enum { RENT_MOST = 8 };
 
 /* ---- refusals ---- */
@@ -82,6 +84,7 @@
         return;
     }
     const GArray *listed = answer->cloud.listed;
+    lead->listed_once = true;
     for (guint i = 0; i < listed->len; i++) {
         const struct ow_listed_machine *l = &g_array_index(listed, struct ow_listed_machine, i);
         struct ow_machine *m = ow_book_find(lead, l->name);
@@ -118,8 +121,15 @@
 struct rental_call {
     int type, zone;
     bool spot;
+    unsigned count;
 };
 
+static void refuse_kind(struct ow_lead *lead, const struct rental_call *call)
+{
+    struct ow_rental_refusal refusal = {call->type, call->zone, call->spot, lead->node->now + REFUSAL_S};
+    g_array_append_val(lead->refusals, refusal);
+}
+
 static void on_rented(void *owner, void *data, const struct ow_command *answer)
 {
     struct ow_lead *lead = owner;
@@ -129,12 +139,13 @@
     lead->renting--;
     lead->rent_at = lead->node->now; /* plan again with what this one has shown */
     if (answer->cloud.status != 200 || answer->cloud.rented == NULL || answer->cloud.rented[0] == NULL) {
-        struct ow_rental_refusal refusal = {call->type, call->zone, call->spot, lead->node->now + REFUSAL_S};
-        g_array_append_val(lead->refusals, refusal);
+        refuse_kind(lead, call);
         g_info("no %s machine of type %s in %s: status %d", call->spot ? "spot" : "ordinary", type, zone,
                answer->cloud.status);
         return;
     }
+    if (g_strv_length(answer->cloud.rented) < call->count)
+        refuse_kind(lead, call); /* these were the last */
     for (char **name = answer->cloud.rented; *name != NULL; name++) {
         struct ow_machine *m = ow_book_get(lead, *name);
         ow_book_describe(lead, m, NULL, type, zone, call->spot);
@@ -179,8 +190,13 @@
     return type->zones == NULL || g_strv_contains((const char *const *)type->zones, zone);
 }
 
+static bool wasteful(const struct ow_machine_type *type, const struct ow_spec *spec)
+{
+    return type->size.gpus > 0 && spec->submission->need.gpus <= 0;
+}
+
 /* The cheapest kind of machine for the job that has not been refused lately. */
-static bool best_kind(const struct ow_lead *lead, const struct ow_spec *spec, struct coming *out)
+static bool best_kind(const struct ow_lead *lead, const struct ow_spec *spec, bool proper, struct coming *out)
 {
     double best = INFINITY;
     for (int type = 0; type < OW_MAX_TYPES; type++) {
@@ -190,6 +206,8 @@
                 int z = ow_names_add(lead->node->names.zones, *zone);
                 struct coming c = {.machine = {.type = type, .zone = z, .spot = spot != 0}, .to_rent = true};
                 uint32_t slots = ow_place_slots(lead, spec, &c.machine);
+                if (proper && wasteful(t, spec))
+                    continue;
                 if (!offered_in(t, *zone) || slots == 0 || !ow_place_allowed(lead, spec, &c.machine) ||
                     refused(lead, type, z, spot != 0))
                     continue;
@@ -209,22 +227,33 @@
     double gpu_s, cpu_s;
 };
 
+/* What a machine has for such work, in the same measure. */
+static double room_for(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m)
+{
+    const struct ow_machine_type *type = ow_machine_spec(lead, m);
+    if (type == NULL || !ow_place_allowed(lead, spec, m))
+        return 0;
+    if (spec->submission->need.gpus <= 0)
+        return MAX(0, type->size.cpus - type->size.gpus * lead->gpu_cpus);
+    double cpus = type->size.cpus;
+    for (guint i = 0; m->attempts != NULL && i < m->attempts->len; i++) {
+        const struct ow_attempt *at = g_ptr_array_index(m->attempts, i);
+        if (at->job->spec->submission->need.gpus <= 0)
+            cpus -= at->job->spec->submission->need.cpus;
+    }
+    return lead->gpu_cpus > 0 ? MIN(type->size.gpus, MAX(0, cpus) / lead->gpu_cpus) : type->size.gpus;
+}
+
 static double capacity(const struct ow_lead *lead, const struct ow_spec *spec, const GArray *plan)
 {
     double sum = 0;
-    bool gpu = spec->submission->need.gpus > 0;
     for (guint i = 0; i < lead->machines->len; i++) {
         const struct ow_machine *m = g_ptr_array_index(lead->machines, i);
-        const struct ow_machine_type *type = ow_machine_spec(lead, m);
-        if (ow_book_usable(lead, m) && ow_place_allowed(lead, spec, m))
-            sum += gpu ? type->size.gpus : MAX(0, type->size.cpus - type->size.gpus * lead->gpu_cpus);
-    }
-    for (guint i = 0; i < plan->len; i++) {
-        const struct ow_machine *m = &g_array_index(plan, struct coming, i).machine;
-        const struct ow_machine_type *type = ow_machine_spec(lead, m);
-        if (type != NULL && ow_place_allowed(lead, spec, m))
-            sum += gpu ? type->size.gpus : MAX(0, type->size.cpus - type->size.gpus * lead->gpu_cpus);
+        if (ow_book_usable(lead, m))
+            sum += room_for(lead, spec, m);
     }
+    for (guint i = 0; i < plan->len; i++)
+        sum += room_for(lead, spec, &g_array_index(plan, struct coming, i).machine);
     return sum;
 }
 
@@ -255,7 +284,7 @@
     for (guint i = 0; i < plan->len && wanted > 0; i++)
         wanted -= take_room(lead, spec, &g_array_index(plan, struct coming, i), wanted);
     struct coming c;
-    while (wanted > 0 && *most > 0 && best_kind(lead, spec, &c)) {
+    while (wanted > 0 && *most > 0 && best_kind(lead, spec, false, &c)) {
         uint32_t taken = take_room(lead, spec, &c, wanted);
         if (taken == 0)
             return;
@@ -269,7 +298,7 @@
 {
     struct ow_cloud_request *request = g_new0(struct ow_cloud_request, 1);
     struct rental_call *call = g_new0(struct rental_call, 1);
-    *call = (struct rental_call){c->machine.type, c->machine.zone, c->machine.spot};
+    *call = (struct rental_call){c->machine.type, c->machine.zone, c->machine.spot, count};
     request->op = OW_CLOUD_RENT;
     /* The token is ours alone, so no other process ever uses the same name for another request. */
     request->name = g_strdup_printf("r-%" G_GUINT64_FORMAT "-%u", lead->token, ++lead->rentals);
@@ -305,10 +334,94 @@
     }
 }
 
+/* ---- room kept ready for classes that can't wait for a machine to boot ---- */
+
+static uint32_t whole_slots(const struct ow_machine_type *type, const struct ow_amounts *need)
+{
+    double slots = 1e6;
+    if (need->cpus > 0)
+        slots = MIN(slots, floor(type->size.cpus / need->cpus + 1e-6));
+    if (need->gpus > 0)
+        slots = MIN(slots, floor(type->size.gpus / need->gpus + 1e-6));
+    if (need->memory_gb > 0)
+        slots = MIN(slots, floor(type->size.memory_gb / need->memory_gb + 1e-6));
+    return (uint32_t)slots;
+}
+
+/* Slots of the job's kind on a machine, full and free ones, if it is a proper place for it. */
+static uint32_t proper_slots(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m)
+{
+    const struct ow_machine_type *type = ow_machine_spec(lead, m);
+    if (type == NULL || wasteful(type, spec) || !ow_place_allowed(lead, spec, m))
+        return 0;
+    return whole_slots(type, &spec->submission->need);
+}
+
+static uint32_t slots_there(const struct ow_lead *lead, const struct ow_spec *spec, const GArray *plan)
+{
+    uint32_t slots = 0;
+    for (guint i = 0; i < lead->machines->len; i++) {
+        const struct ow_machine *m = g_ptr_array_index(lead->machines, i);
+        if (ow_book_usable(lead, m))
+            slots += proper_slots(lead, spec, m);
+    }
+    for (guint i = 0; i < plan->len; i++)
+        slots += proper_slots(lead, spec, &g_array_index(plan, struct coming, i).machine);
+    return slots;
+}
+
+/* The tasks of a class that run or wait, and the newest of its runs as a sample. */
+static uint32_t class_tasks(const struct ow_lead *lead, int class_index, const struct ow_run **sample)
+{
+    uint32_t tasks = 0;
+    *sample = NULL;
+    for (guint i = 0; i < lead->runs->len; i++) {
+        const struct ow_run *run = g_ptr_array_index(lead->runs, i);
+        if (run->job->spec->class_index != class_index || ow_job_over(run->job))
+            continue;
+        tasks += run->count - run->done;
+        if (*sample == NULL || run->came_at > (*sample)->came_at)
+            *sample = run;
+    }
+    return tasks;
+}
+
+static void plan_spare(struct ow_lead *lead, GArray *plan, unsigned *most)
+{
+    for (guint i = 0; i < lead->node->classes->len; i++) {
+        const struct ow_run *sample = NULL;
+        uint32_t tasks = class_tasks(lead, (int)i, &sample);
+        struct coming c;
+        if (sample == NULL || !best_kind(lead, sample->job->spec, true, &c))
+            continue;
+        const struct ow_machine_type *type = ow_machine_spec(lead, &c.machine);
+        if (ow_class_slack_s(lead->node, (int)i) > type->boot_s)
+            continue;
+        uint32_t largest = ow_class_of(lead->node, (int)i)->largest;
+        uint32_t wanted = tasks + MAX(largest, (uint32_t)(SPARE_SHARE * tasks));
+        while (*most > 0 && slots_there(lead, sample->job->spec, plan) < wanted &&
+               best_kind(lead, sample->job->spec, true, &c)) {
+            g_array_append_val(plan, c);
+            (*most)--;
+        }
+    }
+}
+
+static bool all_heard(const struct ow_lead *lead)
+{
+    for (guint i = 0; i < lead->machines->len; i++) {
+        const struct ow_machine *m = g_ptr_array_index(lead->machines, i);
+        if (m->listed == OW_LISTED_RUNNING && !m->fenced)
+            return false;
+    }
+    return lead->listed_once;
+}
+
 static void rent_for_waiting(struct ow_lead *lead)
 {
-    /* One round at a time: a second plan must see what the first has brought. */
-    if (lead->renting > 0 || lead->node->now - lead->ready_at < 4)
+    /* One round at a time: a second plan must see what the first has brought. And none before the machines
+       that are there had time to report. */
+    if (lead->renting > 0 || lead->node->now - lead->ready_at < (all_heard(lead) ? 1 : 4))
         return;
     forget_old_refusals(lead);
     GArray *plan = coming_up(lead);
@@ -318,6 +431,7 @@
     for (guint i = 0; i < runs->len; i++)
         plan_for(lead, g_ptr_array_index(runs, i), plan, &ahead, &most);
     g_ptr_array_free(runs, TRUE);
+    plan_spare(lead, plan, &most);
     rent_planned(lead, plan);
     g_array_free(plan, TRUE);
 }
--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -22,11 +22,14 @@
 {
     const GPtrArray *open = ow_jobs_open(lead->node->jobs);
     lead->gpu_cpus = 0;
+    lead->gpu_rank = OW_RANK_LOW;
     for (guint i = open->len; i > 0; i--) {
         struct ow_job *job = g_ptr_array_index(open, i - 1);
         const struct ow_amounts *need = &job->spec->submission->need;
-        if (need->gpus > 0)
+        if (need->gpus > 0) {
             lead->gpu_cpus = MAX(lead->gpu_cpus, need->cpus / need->gpus);
+            lead->gpu_rank = MIN(lead->gpu_rank, (int)job->spec->submission->rank);
+        }
         settle(lead, job);
     }
 }
