--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -167,6 +167,7 @@
     char *list_after;
     unsigned rentals;
     unsigned renting; /* calls under way */
+    GHashTable *returned; /* names of machines deleted, which lagging lists still show */
     GArray *refusals; /* struct ow_rental_refusal */
     int gpu_rank;     /* the most urgent rank among open jobs that need GPUs */
     double gpu_cpus;  /* CPUs that a GPU needs to be of use, by the jobs that are open */
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -5,6 +5,8 @@
 
 /* Seconds that a job without need of it is worth waiting rather than taking a machine with GPUs. */
 static const double GPU_WASTE_S = 20;
+/* The share of a class's slack that tasks may wait for a machine with their image. */
+static const double IMAGE_PATIENCE = 0.5;
 
 bool ow_place_allowed(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m)
 {
@@ -151,6 +153,33 @@
     return best;
 }
 
+/* How long the waiting tasks of a run would take on the machines that have its image. */
+static double wait_for_image(struct ow_lead *lead, const struct ow_run *run)
+{
+    const struct ow_spec *spec = run->job->spec;
+    const struct ow_amounts *need = &spec->submission->need;
+    double slots = 0;
+    for (guint i = 0; i < lead->machines->len; i++) {
+        const struct ow_machine *m = g_ptr_array_index(lead->machines, i);
+        const struct ow_machine_type *type = ow_machine_spec(lead, m);
+        if (!ow_book_usable(lead, m) || !ow_place_allowed(lead, spec, m) || ow_book_image(m, spec->image) == NULL)
+            continue;
+        slots += MIN(MIN(fit(type->size.cpus, need->cpus), fit(type->size.gpus, need->gpus)),
+                     fit(type->size.memory_gb, need->memory_gb));
+    }
+    return slots > 0 ? ow_run_pending(run) * ow_class_run_s(lead->node, spec) / slots : INFINITY;
+}
+
+/* A machine without the image is left alone while those that have it get to the tasks sooner than it could
+   fetch it, as long as the aims of the class leave the time. */
+static bool better_to_wait(struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m, double wait_s)
+{
+    double fetch_s = ow_book_fetch_s(lead, m, run->job->spec);
+    double waited = lead->node->now - run->came_at;
+    return wait_s < fetch_s &&
+           waited + wait_s < IMAGE_PATIENCE * ow_class_slack_s(lead->node, run->job->spec->class_index);
+}
+
 void ow_place_array(struct ow_lead *lead, struct ow_run *run)
 {
     uint32_t wanted = ow_team_admits(lead, run->job->spec, ow_run_pending(run));
@@ -159,6 +188,7 @@
     GArray *rooms = ow_place_rooms(lead, run);
     int only = run->job->spec->submission->one_zone ? best_zone(run, rooms) : OW_NO_NAME;
     uint32_t placed = 0;
+    double wait_s = wait_for_image(lead, run);
     uint64_t number = 0;
     for (uint32_t c = 0; c < run->chunk_count; c++)
         number = MAX(number, run->chunks[c].last_attempt + 1);
@@ -166,6 +196,8 @@
         struct ow_room *room = &g_array_index(rooms, struct ow_room, i);
         if (only != OW_NO_NAME && room->machine->zone != only)
             continue;
+        if (better_to_wait(lead, run, room->machine, wait_s))
+            continue;
         uint32_t here = MIN(room->slots, ow_place_zone_admits(run, room->machine->zone));
         for (; here > 0 && placed < wanted; here--, placed++)
             ow_place_task(lead, run, ow_place_next_pending(run), number, room->machine);
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -6,6 +6,8 @@
 static const double LIST_S = 10, REFUSAL_S = 60, IDLE_S = 60;
 /* The share of a class's slack that may be spent on waiting for machines that are there. */
 static const double PATIENCE = 0.5;
+/* How much longer a spot machine is kept idle than an ordinary one. */
+static const double SPOT_PATIENCE = 2;
 /* Room kept ready beyond what a class uses, where a boot takes longer than it may wait. */
 static const double SPARE_SHARE = 0.25;
 enum { RENT_MOST = 8 };
@@ -49,6 +51,7 @@
         return;
     if (answer->cloud.status == 200) {
         g_info("machine %s is returned", m->name);
+        g_hash_table_add(lead->returned, g_strdup(m->name));
         forget_refusal(lead, m); /* its place is free again */
         ow_book_remove(lead, m, "its machine is deleted");
     } else {
@@ -87,6 +90,8 @@
     lead->listed_once = true;
     for (guint i = 0; i < listed->len; i++) {
         const struct ow_listed_machine *l = &g_array_index(listed, struct ow_listed_machine, i);
+        if (g_hash_table_contains(lead->returned, l->name))
+            continue; /* the list lags */
         struct ow_machine *m = ow_book_find(lead, l->name);
         bool fresh = m == NULL;
         if (fresh)
@@ -466,15 +471,30 @@
     return false;
 }
 
+static bool idle(const struct ow_lead *lead, const struct ow_machine *m)
+{
+    return m->attempts->len == 0 && m->fenced && !m->deleting && !held(lead, m) && !worth_keeping(lead, m);
+}
+
+/* The more machines of a type are idle, the less likely each is to be needed soon. A cheap one may wait
+   longer for work than it costs to do without it. */
+static double idle_limit(const struct ow_lead *lead, const struct ow_machine *m)
+{
+    unsigned alike = 0;
+    for (guint i = 0; i < lead->machines->len; i++) {
+        const struct ow_machine *other = g_ptr_array_index(lead->machines, i);
+        alike += other->type == m->type && other->spot == m->spot && idle(lead, other) ? 1 : 0;
+    }
+    return (m->spot ? SPOT_PATIENCE : 1) * IDLE_S / MAX(alike, 1);
+}
+
 static void return_idle(struct ow_lead *lead)
 {
     double now = lead->node->now;
-    for (guint i = 0; i < lead->machines->len; i++) {
-        struct ow_machine *m = g_ptr_array_index(lead->machines, i);
-        if (m->attempts->len > 0 || !m->fenced || now - MAX(m->idle_since, lead->ready_at) < IDLE_S ||
-            held(lead, m) || worth_keeping(lead, m))
-            continue;
-        ow_rent_delete(lead, m, "it is idle");
+    for (guint i = lead->machines->len; i > 0; i--) {
+        struct ow_machine *m = g_ptr_array_index(lead->machines, i - 1);
+        if (idle(lead, m) && now - MAX(m->idle_since, lead->ready_at) > idle_limit(lead, m))
+            ow_rent_delete(lead, m, "it is idle");
     }
 }
 
