--- a/src/core/classes.c
+++ b/src/core/classes.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 /* Weight of the newest run, and bounds that keep one odd job from ruling its class. */
-static const double NEWEST = 0.05, RATIO_LEAST = 0.3, RATIO_MOST = 4, NO_AIM_SLACK_S = 60;
+static const double NEWEST = 0.05, RATIO_LEAST = 0.3, RATIO_MOST = 4, NO_AIM_SLACK_S = 60, PEAK_S = 150;
 
 struct ow_class *ow_class_of(struct ow_node *node, int class_index)
 {
@@ -41,6 +41,14 @@
     c->ratio += NEWEST * (ratio - c->ratio);
 }
 
+double ow_class_peak(struct ow_node *node, int class_index, double tasks)
+{
+    struct ow_class *c = ow_class_of(node, class_index);
+    c->peak = MAX(tasks, c->peak * exp(-(node->now - c->peak_at) / PEAK_S));
+    c->peak_at = node->now;
+    return c->peak;
+}
+
 double ow_class_run_s(struct ow_node *node, const struct ow_spec *spec)
 {
     return spec->submission->estimate_s * ow_class_of(node, spec->class_index)->ratio;
--- a/src/core/classes.h
+++ b/src/core/classes.h
@@ -15,12 +15,15 @@
     bool gang, spot;
     uint64_t types;
     double seen_at;
+    double peak, peak_at; /* tasks that ran or waited at once, slowly forgotten */
 };
 
 /* Grown as class names come; the pointer holds until the next call. */
 struct ow_class *ow_class_of(struct ow_node *node, int class_index);
 void ow_class_saw_job(struct ow_node *node, const struct ow_spec *spec);
 void ow_class_saw_run(struct ow_node *node, const struct ow_spec *spec, double ran_s);
+/* Takes how many tasks of the class run or wait now, and tells how many did lately. */
+double ow_class_peak(struct ow_node *node, int class_index, double tasks);
 /* How long a task of the job runs, corrected by what its class has shown. */
 double ow_class_run_s(struct ow_node *node, const struct ow_spec *spec);
 /* How long a task of the class may wait for its start without missing an aim of its class. */
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -3,13 +3,15 @@
 
 #include <math.h>
 
-static const double LIST_S = 10, REFUSAL_S = 60, IDLE_S = 60;
+static const double LIST_S = 10, REFUSAL_S = 60, IDLE_S = 25;
 /* The share of a class's slack that may be spent on waiting for machines that are there. */
-static const double PATIENCE = 0.5;
+static const double PATIENCE = 0.9;
 /* How much longer a spot machine is kept idle than an ordinary one. */
 static const double SPOT_PATIENCE = 2;
 /* Room kept ready beyond what a class uses, where a boot takes longer than it may wait. */
-static const double SPARE_SHARE = 0.25;
+static const double SPARE_SHARE = 0.1;
+/* How many times the start of a machine with GPUs other work must wait to be given one. */
+static const double WASTE_PATIENCE = 1.5;
 enum { RENT_MOST = 8 };
 
 /* ---- refusals ---- */
@@ -201,7 +203,7 @@
 }
 
 /* The cheapest kind of machine for the job that has not been refused lately. */
-static bool best_kind(const struct ow_lead *lead, const struct ow_spec *spec, bool proper, struct coming *out)
+static bool best_kind(const struct ow_lead *lead, const struct ow_spec *spec, double waits, struct coming *out)
 {
     double best = INFINITY;
     for (int type = 0; type < OW_MAX_TYPES; type++) {
@@ -211,7 +213,8 @@
                 int z = ow_names_add(lead->node->names.zones, *zone);
                 struct coming c = {.machine = {.type = type, .zone = z, .spot = spot != 0}, .to_rent = true};
                 uint32_t slots = ow_place_slots(lead, spec, &c.machine);
-                if (proper && wasteful(t, spec))
+                /* Work without need of GPUs gets a machine with them only if it would wait far longer. */
+                if (wasteful(t, spec) && waits < WASTE_PATIENCE * (t->boot_s + spec->submission->image_gb / t->fetch_gb_per_s))
                     continue;
                 if (!offered_in(t, *zone) || slots == 0 || !ow_place_allowed(lead, spec, &c.machine) ||
                     refused(lead, type, z, spot != 0))
@@ -263,7 +266,8 @@
 }
 
 /* Whether the machines that are there or coming get to the job in time for the aims of its class. */
-static bool in_time(struct ow_lead *lead, const struct ow_run *run, const GArray *plan, struct backlog *ahead)
+static bool in_time(struct ow_lead *lead, const struct ow_run *run, const GArray *plan, struct backlog *ahead,
+                    double *waits_out)
 {
     const struct ow_spec *spec = run->job->spec;
     const struct ow_amounts *need = &spec->submission->need;
@@ -272,9 +276,12 @@
     double *work = gpu ? &ahead->gpu_s : &ahead->cpu_s;
     *work += ow_run_pending(run) * (gpu ? need->gpus : need->cpus) * run_s;
     double there = capacity(lead, spec, plan);
+    *waits_out = INFINITY;
     if (there <= 0)
         return false;
-    double waits = *work / there + run_s / 2;
+    /* Until the first of the places there is free, and then the work ahead. */
+    double waits = (*work + run_s * (gpu ? need->gpus : need->cpus)) / there;
+    *waits_out = waits;
     double slack = ow_class_slack_s(lead->node, spec->class_index) - (lead->node->now - run->came_at);
     return waits < PATIENCE * slack;
 }
@@ -284,12 +291,13 @@
 {
     const struct ow_spec *spec = run->job->spec;
     uint32_t wanted = ow_team_admits(lead, spec, ow_run_pending(run));
-    if (in_time(lead, run, plan, ahead))
+    double waits;
+    if (in_time(lead, run, plan, ahead, &waits))
         return;
     for (guint i = 0; i < plan->len && wanted > 0; i++)
         wanted -= take_room(lead, spec, &g_array_index(plan, struct coming, i), wanted);
     struct coming c;
-    while (wanted > 0 && *most > 0 && best_kind(lead, spec, false, &c)) {
+    while (wanted > 0 && *most > 0 && best_kind(lead, spec, waits, &c)) {
         uint32_t taken = take_room(lead, spec, &c, wanted);
         if (taken == 0)
             return;
@@ -353,25 +361,27 @@
     return (uint32_t)slots;
 }
 
-/* Slots of the job's kind on a machine, full and free ones, if it is a proper place for it. */
-static uint32_t proper_slots(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m)
+/* Slots of the class on a machine, full and free ones, if it is a proper place for it. */
+static uint32_t proper_slots(const struct ow_lead *lead, const struct ow_class *c, const struct ow_machine *m)
 {
     const struct ow_machine_type *type = ow_machine_spec(lead, m);
-    if (type == NULL || wasteful(type, spec) || !ow_place_allowed(lead, spec, m))
+    if (type == NULL || (type->size.gpus > 0 && c->need.gpus <= 0) || (m->spot && !c->spot) ||
+        (c->types & (UINT64_C(1) << m->type)) == 0)
         return 0;
-    return whole_slots(type, &spec->submission->need);
+    return whole_slots(type, &c->need);
 }
 
-static uint32_t slots_there(const struct ow_lead *lead, const struct ow_spec *spec, const GArray *plan)
+/* `plan` may be NULL: machines that are up alone. */
+static uint32_t slots_there(const struct ow_lead *lead, const struct ow_class *c, const GArray *plan)
 {
     uint32_t slots = 0;
     for (guint i = 0; i < lead->machines->len; i++) {
         const struct ow_machine *m = g_ptr_array_index(lead->machines, i);
         if (ow_book_usable(lead, m))
-            slots += proper_slots(lead, spec, m);
+            slots += proper_slots(lead, c, m);
     }
-    for (guint i = 0; i < plan->len; i++)
-        slots += proper_slots(lead, spec, &g_array_index(plan, struct coming, i).machine);
+    for (guint i = 0; plan != NULL && i < plan->len; i++)
+        slots += proper_slots(lead, c, &g_array_index(plan, struct coming, i).machine);
     return slots;
 }
 
@@ -391,21 +401,28 @@
     return tasks;
 }
 
+/* Slots that a class should find: what it used lately and some more. */
+static double spare_target(struct ow_lead *lead, int class_index, uint32_t tasks)
+{
+    double peak = ow_class_peak(lead->node, class_index, tasks);
+    return peak + MAX(ow_class_of(lead->node, class_index)->largest, SPARE_SHARE * peak);
+}
+
 static void plan_spare(struct ow_lead *lead, GArray *plan, unsigned *most)
 {
     for (guint i = 0; i < lead->node->classes->len; i++) {
         const struct ow_run *sample = NULL;
         uint32_t tasks = class_tasks(lead, (int)i, &sample);
         struct coming c;
-        if (sample == NULL || !best_kind(lead, sample->job->spec, true, &c))
+        if (sample == NULL || !best_kind(lead, sample->job->spec, 0, &c))
             continue;
         const struct ow_machine_type *type = ow_machine_spec(lead, &c.machine);
         if (ow_class_slack_s(lead->node, (int)i) > type->boot_s)
             continue;
-        uint32_t largest = ow_class_of(lead->node, (int)i)->largest;
-        uint32_t wanted = tasks + MAX(largest, (uint32_t)(SPARE_SHARE * tasks));
-        while (*most > 0 && slots_there(lead, sample->job->spec, plan) < wanted &&
-               best_kind(lead, sample->job->spec, true, &c)) {
+        const struct ow_class *class = ow_class_of(lead->node, (int)i);
+        double wanted = spare_target(lead, (int)i, tasks);
+        while (*most > 0 && slots_there(lead, class, plan) < wanted &&
+               best_kind(lead, sample->job->spec, 0, &c)) {
             g_array_append_val(plan, c);
             (*most)--;
         }
@@ -454,18 +471,18 @@
     return false;
 }
 
-/* Whether some class has so little slack that a machine rented at need would come too late for it. */
+/* Whether some class has so little slack that it needs this machine ready although it is idle. */
 static bool worth_keeping(const struct ow_lead *lead, const struct ow_machine *m)
 {
     const struct ow_machine_type *type = ow_machine_spec(lead, m);
     struct ow_node *node = lead->node;
     for (guint i = 0; type != NULL && i < node->classes->len; i++) {
         const struct ow_class *c = ow_class_of(node, (int)i);
-        bool fits = c->need.cpus <= type->size.cpus && c->need.gpus <= type->size.gpus &&
-                    c->need.memory_gb <= type->size.memory_gb && (c->types & (UINT64_C(1) << m->type)) != 0;
         double fetch = type->fetch_gb_per_s > 0 ? c->image_gb / type->fetch_gb_per_s : 0;
-        if (c->seen && fits && (c->need.gpus > 0 || type->size.gpus <= 0) &&
-            ow_class_slack_s(node, (int)i) < 1.2 * type->boot_s + fetch + 10)
+        uint32_t slots = proper_slots(lead, c, m);
+        if (!c->seen || slots == 0 || ow_class_slack_s(node, (int)i) >= 1.2 * type->boot_s + fetch + 10)
+            continue;
+        if (slots_there(lead, c, NULL) < c->peak * (1 + SPARE_SHARE) + c->largest + slots)
             return true;
     }
     return false;
