--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -6,7 +6,7 @@
 /* Seconds that a job without need of it is worth waiting rather than taking a machine with GPUs. */
 static const double GPU_WASTE_S = 20;
 /* The share of a class's slack that tasks may wait for a machine with their image. */
-static const double IMAGE_PATIENCE = 0.5;
+static const double IMAGE_PATIENCE = 1.0;
 
 bool ow_place_allowed(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m)
 {
@@ -153,7 +153,19 @@
     return best;
 }
 
-/* How long the waiting tasks of a run would take on the machines that have its image. */
+/* Seconds of work that waits for an image. */
+static double work_for_image(struct ow_lead *lead, int image)
+{
+    double work = 0;
+    for (guint i = 0; i < lead->runs->len; i++) {
+        const struct ow_run *run = g_ptr_array_index(lead->runs, i);
+        if (run->job->spec->image == image && !run->job->spec->submission->gang)
+            work += ow_run_pending(run) * ow_class_run_s(lead->node, run->job->spec);
+    }
+    return work;
+}
+
+/* How long the work that waits for the image of a run would take on the machines that have it. */
 static double wait_for_image(struct ow_lead *lead, const struct ow_run *run)
 {
     const struct ow_spec *spec = run->job->spec;
@@ -167,7 +179,7 @@
         slots += MIN(MIN(fit(type->size.cpus, need->cpus), fit(type->size.gpus, need->gpus)),
                      fit(type->size.memory_gb, need->memory_gb));
     }
-    return slots > 0 ? ow_run_pending(run) * ow_class_run_s(lead->node, spec) / slots : INFINITY;
+    return slots > 0 ? work_for_image(lead, spec->image) / slots : INFINITY;
 }
 
 /* A machine without the image is left alone while those that have it get to the tasks sooner than it could
@@ -176,7 +188,7 @@
 {
     double fetch_s = ow_book_fetch_s(lead, m, run->job->spec);
     double waited = lead->node->now - run->came_at;
-    return wait_s < fetch_s &&
+    return wait_s < fetch_s - 10 &&
            waited + wait_s < IMAGE_PATIENCE * ow_class_slack_s(lead->node, run->job->spec->class_index);
 }
 
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -5,11 +5,11 @@
 
 static const double LIST_S = 10, REFUSAL_S = 60, IDLE_S = 25;
 /* The share of a class's slack that may be spent on waiting for machines that are there. */
-static const double PATIENCE = 0.9;
+static const double PATIENCE = 0.5;
 /* How much longer a spot machine is kept idle than an ordinary one. */
 static const double SPOT_PATIENCE = 2;
 /* Room kept ready beyond what a class uses, where a boot takes longer than it may wait. */
-static const double SPARE_SHARE = 0.1;
+static const double SPARE_SHARE = 0.5;
 /* How many times the start of a machine with GPUs other work must wait to be given one. */
 static const double WASTE_PATIENCE = 1.5;
 enum { RENT_MOST = 8 };
@@ -202,8 +202,14 @@
     return type->size.gpus > 0 && spec->submission->need.gpus <= 0;
 }
 
+/* How long a new machine takes until it can run the job. */
+static double start_s(const struct ow_machine_type *type, const struct ow_spec *spec)
+{
+    return type->boot_s + (type->fetch_gb_per_s > 0 ? spec->submission->image_gb / type->fetch_gb_per_s : 0);
+}
+
 /* The cheapest kind of machine for the job that has not been refused lately. */
-static bool best_kind(const struct ow_lead *lead, const struct ow_spec *spec, double waits, struct coming *out)
+static bool best_kind(const struct ow_lead *lead, const struct ow_spec *spec, double waits, bool proper, struct coming *out)
 {
     double best = INFINITY;
     for (int type = 0; type < OW_MAX_TYPES; type++) {
@@ -214,7 +220,7 @@
                 struct coming c = {.machine = {.type = type, .zone = z, .spot = spot != 0}, .to_rent = true};
                 uint32_t slots = ow_place_slots(lead, spec, &c.machine);
                 /* Work without need of GPUs gets a machine with them only if it would wait far longer. */
-                if (wasteful(t, spec) && waits < WASTE_PATIENCE * (t->boot_s + spec->submission->image_gb / t->fetch_gb_per_s))
+                if (wasteful(t, spec) && (proper || waits < WASTE_PATIENCE * start_s(t, spec)))
                     continue;
                 if (!offered_in(t, *zone) || slots == 0 || !ow_place_allowed(lead, spec, &c.machine) ||
                     refused(lead, type, z, spot != 0))
@@ -297,7 +303,7 @@
     for (guint i = 0; i < plan->len && wanted > 0; i++)
         wanted -= take_room(lead, spec, &g_array_index(plan, struct coming, i), wanted);
     struct coming c;
-    while (wanted > 0 && *most > 0 && best_kind(lead, spec, waits, &c)) {
+    while (wanted > 0 && *most > 0 && best_kind(lead, spec, waits, false, &c)) {
         uint32_t taken = take_room(lead, spec, &c, wanted);
         if (taken == 0)
             return;
@@ -361,6 +367,14 @@
     return (uint32_t)slots;
 }
 
+/* Whether the class has so little slack that a machine rented at need would come late for it. */
+static bool is_tight(struct ow_lead *lead, int class_index, const struct ow_machine_type *type)
+{
+    const struct ow_class *c = ow_class_of(lead->node, class_index);
+    double fetch = type->fetch_gb_per_s > 0 ? c->image_gb / type->fetch_gb_per_s : 0;
+    return ow_class_slack_s(lead->node, class_index) < 2 * type->boot_s + fetch + 20;
+}
+
 /* Slots of the class on a machine, full and free ones, if it is a proper place for it. */
 static uint32_t proper_slots(const struct ow_lead *lead, const struct ow_class *c, const struct ow_machine *m)
 {
@@ -414,15 +428,15 @@
         const struct ow_run *sample = NULL;
         uint32_t tasks = class_tasks(lead, (int)i, &sample);
         struct coming c;
-        if (sample == NULL || !best_kind(lead, sample->job->spec, 0, &c))
+        if (sample == NULL || !best_kind(lead, sample->job->spec, INFINITY, true, &c))
             continue;
         const struct ow_machine_type *type = ow_machine_spec(lead, &c.machine);
-        if (ow_class_slack_s(lead->node, (int)i) > type->boot_s)
-            continue;
         const struct ow_class *class = ow_class_of(lead->node, (int)i);
+        if (!is_tight(lead, (int)i, type))
+            continue;
         double wanted = spare_target(lead, (int)i, tasks);
         while (*most > 0 && slots_there(lead, class, plan) < wanted &&
-               best_kind(lead, sample->job->spec, 0, &c)) {
+               best_kind(lead, sample->job->spec, INFINITY, true, &c)) {
             g_array_append_val(plan, c);
             (*most)--;
         }
@@ -471,16 +485,15 @@
     return false;
 }
 
-/* Whether some class has so little slack that it needs this machine ready although it is idle. */
-static bool worth_keeping(const struct ow_lead *lead, const struct ow_machine *m)
+/* Whether a tight class needs this machine ready although it is idle. */
+static bool worth_keeping(struct ow_lead *lead, const struct ow_machine *m)
 {
     const struct ow_machine_type *type = ow_machine_spec(lead, m);
     struct ow_node *node = lead->node;
     for (guint i = 0; type != NULL && i < node->classes->len; i++) {
         const struct ow_class *c = ow_class_of(node, (int)i);
-        double fetch = type->fetch_gb_per_s > 0 ? c->image_gb / type->fetch_gb_per_s : 0;
         uint32_t slots = proper_slots(lead, c, m);
-        if (!c->seen || slots == 0 || ow_class_slack_s(node, (int)i) >= 1.2 * type->boot_s + fetch + 10)
+        if (!c->seen || slots == 0 || !is_tight(lead, (int)i, type))
             continue;
         if (slots_there(lead, c, NULL) < c->peak * (1 + SPARE_SHARE) + c->largest + slots)
             return true;
@@ -488,14 +501,14 @@
     return false;
 }
 
-static bool idle(const struct ow_lead *lead, const struct ow_machine *m)
+static bool idle(struct ow_lead *lead, const struct ow_machine *m)
 {
     return m->attempts->len == 0 && m->fenced && !m->deleting && !held(lead, m) && !worth_keeping(lead, m);
 }
 
 /* The more machines of a type are idle, the less likely each is to be needed soon. A cheap one may wait
    longer for work than it costs to do without it. */
-static double idle_limit(const struct ow_lead *lead, const struct ow_machine *m)
+static double idle_limit(struct ow_lead *lead, const struct ow_machine *m)
 {
     unsigned alike = 0;
     for (guint i = 0; i < lead->machines->len; i++) {
