--- a/src/core/classes.c
+++ b/src/core/classes.c
@@ -27,6 +27,7 @@
     c->need = s->need;
     c->gang = s->gang;
     c->spot = s->spot;
+    c->rank = s->rank;
     c->types = spec->types;
     c->seen = true;
     c->seen_at = node->now;
--- a/src/core/classes.h
+++ b/src/core/classes.h
@@ -13,6 +13,7 @@
     double estimate_s, image_gb;
     uint32_t largest; /* tasks of the largest gang */
     bool gang, spot;
+    enum ow_rank rank;
     uint64_t types;
     double seen_at;
     double peak, peak_at; /* tasks that ran or waited at once, slowly forgotten */
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -5,6 +5,8 @@
 
 /* Seconds that a job without need of it is worth waiting rather than taking a machine with GPUs. */
 static const double GPU_WASTE_S = 20;
+/* The same for a machine that a more urgent gang is likely to want whole. */
+static const double SOUGHT_S = 15;
 /* The share of a class's slack that tasks may wait for a machine with their image. */
 static const double IMAGE_PATIENCE = 1.0;
 
@@ -39,14 +41,33 @@
     return slots <= 0 ? 0 : (uint32_t)slots;
 }
 
+/* Whether a more urgent class of gangs needs the better part of such a machine for a single task: what is
+   put there is likely to be stopped for it. */
+static bool sought_by_gangs(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m,
+                            const struct ow_machine_type *type)
+{
+    for (guint i = 0; i < lead->node->classes->len; i++) {
+        const struct ow_class *c = &g_array_index(lead->node->classes, struct ow_class, i);
+        if (c->seen && c->gang && c->rank < spec->submission->rank && (c->spot || !m->spot) &&
+            (c->types & (UINT64_C(1) << m->type)) != 0 && c->need.cpus > type->size.cpus / 2 &&
+            c->need.cpus <= type->size.cpus && c->need.memory_gb <= type->size.memory_gb &&
+            c->need.gpus <= type->size.gpus)
+            return true;
+    }
+    return false;
+}
+
 double ow_place_cost(const struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m)
 {
     const struct ow_spec *spec = run->job->spec;
     const struct ow_machine_type *type = ow_machine_spec(lead, m);
     double cost = ow_book_fetch_s(lead, m, spec);
     cost += spec->submission->estimate_s * MAX(0, m->slowness - 1);
-    if (type->size.gpus > 0 && spec->submission->need.gpus <= 0)
+    /* Less urgent work gets only what GPUs leave over, which is nobody else's loss. */
+    if (type->size.gpus > 0 && spec->submission->need.gpus <= 0 && (int)spec->submission->rank < lead->gpu_rank)
         cost += GPU_WASTE_S;
+    if (sought_by_gangs(lead, spec, m, type))
+        cost += SOUGHT_S;
     /* Rent, then the tightest fit. */
     cost += m->spot ? type->spot_price : type->price;
     double left = type->size.cpus - m->used.cpus - spec->submission->need.cpus;
