--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -3,6 +3,9 @@
 
 #include <string.h>
 
+/* How far the size of an array counts against its age. */
+static const double SIZE_WEIGHT = 5;
+
 static void settle(struct ow_lead *lead, struct ow_job *job)
 {
     struct ow_run *run = ow_run_get(lead, job);
@@ -38,6 +41,7 @@
     struct ow_run *run;
     int rank;
     bool borrowing; /* beyond its team's guarantee */
+    double turn;    /* earlier goes first */
 };
 
 static bool within(double guarantee, double used, double need)
@@ -69,17 +73,47 @@
         return x->rank < y->rank ? -1 : 1;
     if (x->borrowing != y->borrowing)
         return x->borrowing ? 1 : -1;
+    if (x->turn != y->turn)
+        return x->turn < y->turn ? -1 : 1;
     return x->run->job->place < y->run->job->place ? -1 : x->run->job->place > y->run->job->place;
 }
 
+/* An array's turn is its arrival, put off by the time that its waiting work needs of the whole fleet: a short
+   one passes a long one by, and everybody's turn comes. A gang keeps its place. */
+static double turn_of(struct ow_lead *lead, const struct ow_run *run, double fleet_cpus, double fleet_gpus)
+{
+    const struct ow_spec *spec = run->job->spec;
+    const struct ow_amounts *need = &spec->submission->need;
+    if (spec->submission->gang)
+        return run->came_at;
+    double share = need->gpus > 0 ? need->gpus / MAX(fleet_gpus, 1) : need->cpus / MAX(fleet_cpus, 1);
+    return run->came_at + SIZE_WEIGHT * ow_run_pending(run) * ow_class_run_s(lead->node, spec) * share;
+}
+
+static void fleet_size(const struct ow_lead *lead, double *cpus, double *gpus)
+{
+    *cpus = *gpus = 0;
+    for (guint i = 0; i < lead->machines->len; i++) {
+        const struct ow_machine *m = g_ptr_array_index(lead->machines, i);
+        const struct ow_machine_type *type = ow_machine_spec(lead, m);
+        if (!ow_book_usable(lead, m))
+            continue;
+        *cpus += type->size.cpus;
+        *gpus += type->size.gpus;
+    }
+}
+
 static GArray *line(struct ow_lead *lead)
 {
     GArray *entries = g_array_new(FALSE, FALSE, sizeof(struct entry));
+    double cpus, gpus;
+    fleet_size(lead, &cpus, &gpus);
     for (guint i = 0; i < lead->runs->len; i++) {
         struct ow_run *run = g_ptr_array_index(lead->runs, i);
         if (ow_run_pending(run) == 0 || run->ready_at > lead->node->now)
             continue;
-        struct entry e = {run, (int)run->job->spec->submission->rank, !guaranteed(lead, run)};
+        struct entry e = {run, (int)run->job->spec->submission->rank, !guaranteed(lead, run),
+                          turn_of(lead, run, cpus, gpus)};
         g_array_append_val(entries, e);
     }
     g_array_sort(entries, by_line);
