--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -7,8 +7,10 @@
 static const double GPU_WASTE_S = 20;
 /* The same for a machine that a more urgent gang is likely to want whole. */
 static const double SOUGHT_S = 15;
-/* The share of a class's slack that tasks may wait for a machine with their image. */
-static const double IMAGE_PATIENCE = 1.0;
+/* The share of a class's slack that tasks may wait for a machine with their image, if a fetch is dear. */
+static const double IMAGE_PATIENCE = 0.9;
+/* A fetch so short is never worth waiting for. */
+static const double SHORT_FETCH_S = 10;
 
 bool ow_place_allowed(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m)
 {
@@ -34,7 +36,7 @@
     double gpus = type->size.gpus - m->used.gpus - m->stray.gpus - m->held.gpus;
     double cpus = type->size.cpus - m->used.cpus - m->stray.cpus - m->held.cpus;
     double memory = type->size.memory_gb - m->used.memory_gb - m->stray.memory_gb - m->held.memory_gb;
-    if (need->gpus <= 0 && gpus > 0 && (int)spec->submission->rank >= lead->gpu_rank)
+    if (need->gpus <= 0 && gpus > 0 && (!m->spot || (int)spec->submission->rank >= lead->gpu_rank))
         /* Room that the machine's free GPUs need to be of use to work at least as urgent. */
         cpus -= gpus * lead->gpu_cpus;
     double slots = MIN(MIN(fit(cpus, need->cpus), fit(gpus, need->gpus)), fit(memory, need->memory_gb));
@@ -186,31 +188,36 @@
     return work;
 }
 
-/* How long the work that waits for the image of a run would take on the machines that have it. */
-static double wait_for_image(struct ow_lead *lead, const struct ow_run *run)
+static double whole_slots(const struct ow_machine_type *type, const struct ow_amounts *need)
+{
+    return MIN(MIN(fit(type->size.cpus, need->cpus), fit(type->size.gpus, need->gpus)),
+               fit(type->size.memory_gb, need->memory_gb));
+}
+
+/* Places for tasks of the run on machines that have its image or fetch it, free or not. */
+static double slots_with_image(struct ow_lead *lead, const struct ow_run *run)
 {
     const struct ow_spec *spec = run->job->spec;
-    const struct ow_amounts *need = &spec->submission->need;
     double slots = 0;
     for (guint i = 0; i < lead->machines->len; i++) {
         const struct ow_machine *m = g_ptr_array_index(lead->machines, i);
-        const struct ow_machine_type *type = ow_machine_spec(lead, m);
-        if (!ow_book_usable(lead, m) || !ow_place_allowed(lead, spec, m) || ow_book_image(m, spec->image) == NULL)
-            continue;
-        slots += MIN(MIN(fit(type->size.cpus, need->cpus), fit(type->size.gpus, need->gpus)),
-                     fit(type->size.memory_gb, need->memory_gb));
+        if (ow_book_usable(lead, m) && ow_place_allowed(lead, spec, m) && ow_book_image(m, spec->image) != NULL)
+            slots += whole_slots(ow_machine_spec(lead, m), &spec->submission->need);
     }
-    return slots > 0 ? work_for_image(lead, spec->image) / slots : INFINITY;
+    return slots;
 }
 
-/* A machine without the image is left alone while those that have it get to the tasks sooner than it could
-   fetch it, as long as the aims of the class leave the time. */
+/* A machine without the image is left alone while those that have it get through the work sooner than it
+   could fetch the image, as long as the aims of the class leave the time. */
 static bool better_to_wait(struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m, double wait_s)
 {
     double fetch_s = ow_book_fetch_s(lead, m, run->job->spec);
-    double waited = lead->node->now - run->came_at;
-    return wait_s < fetch_s - 10 &&
-           waited + wait_s < IMAGE_PATIENCE * ow_class_slack_s(lead->node, run->job->spec->class_index);
+    double waits = lead->node->now - run->came_at + wait_s;
+    double slack = ow_class_slack_s(lead->node, run->job->spec->class_index);
+    /* A fetch that costs more than the work it serves is made only when the aims need it. */
+    bool dear = fetch_s > ow_class_run_s(lead->node, run->job->spec);
+    return fetch_s > SHORT_FETCH_S &&
+           ((wait_s < fetch_s && waits < slack) || (dear && waits < IMAGE_PATIENCE * slack));
 }
 
 void ow_place_array(struct ow_lead *lead, struct ow_run *run)
@@ -221,7 +228,7 @@
     GArray *rooms = ow_place_rooms(lead, run);
     int only = run->job->spec->submission->one_zone ? best_zone(run, rooms) : OW_NO_NAME;
     uint32_t placed = 0;
-    double wait_s = wait_for_image(lead, run);
+    double work = work_for_image(lead, run->job->spec->image), slots = slots_with_image(lead, run);
     uint64_t number = 0;
     for (uint32_t c = 0; c < run->chunk_count; c++)
         number = MAX(number, run->chunks[c].last_attempt + 1);
@@ -229,8 +236,11 @@
         struct ow_room *room = &g_array_index(rooms, struct ow_room, i);
         if (only != OW_NO_NAME && room->machine->zone != only)
             continue;
-        if (better_to_wait(lead, run, room->machine, wait_s))
+        bool fetches = ow_book_image(room->machine, run->job->spec->image) == NULL;
+        if (fetches && slots > 0 && better_to_wait(lead, run, room->machine, work / slots))
             continue;
+        if (fetches)
+            slots += whole_slots(ow_machine_spec(lead, room->machine), &run->job->spec->submission->need);
         uint32_t here = MIN(room->slots, ow_place_zone_admits(run, room->machine->zone));
         for (; here > 0 && placed < wanted; here--, placed++)
             ow_place_task(lead, run, ow_place_next_pending(run), number, room->machine);
--- a/src/core/preempt.c
+++ b/src/core/preempt.c
@@ -15,8 +15,9 @@
 static double loss_s(const struct ow_lead *lead, const struct ow_attempt *at)
 {
     const struct ow_submission *s = at->job->spec->submission;
-    if (at->state != OW_AT_SEEN || at->running_at == 0)
-        return 0;
+    /* A fetch given up has to begin anew. */
+    if (at->running_at == 0)
+        return lead->node->now - at->placed_at;
     double ran = lead->node->now - at->running_at;
     return s->checkpoint_s > 0 ? MIN(ran, s->save_s) : ran;
 }
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -5,7 +5,7 @@
 
 static const double LIST_S = 10, REFUSAL_S = 60, IDLE_S = 25;
 /* The share of a class's slack that may be spent on waiting for machines that are there. */
-static const double PATIENCE = 0.5;
+static const double PATIENCE = 0.75;
 /* How much longer a spot machine is kept idle than an ordinary one. */
 static const double SPOT_PATIENCE = 2;
 /* Room kept ready beyond what a class uses, where a boot takes longer than it may wait. */
@@ -308,6 +308,8 @@
         if (taken == 0)
             return;
         wanted -= taken;
+        g_debug("a %s machine is planned for job %s, which would wait %.0f s",
+                ow_names_text(lead->node->names.types, c.machine.type), run->job->id, waits);
         g_array_append_val(plan, c);
         (*most)--;
     }
