--- a/src/core/core.c
+++ b/src/core/core.c
@@ -79,8 +79,10 @@
 
 void ow_node_nudge(struct ow_node *node, uint64_t revision)
 {
-    if (node->lead != NULL)
-        return; /* a scheduling pass sees it anyway */
+    if (node->lead != NULL) {
+        ow_lead_wake(node->lead);
+        return;
+    }
     struct ow_peer_message *message = ow_peer_message_new(OW_PEER_NUDGE);
     message->number = revision;
     ow_node_tell_peers(node, message);
--- a/src/core/lead.c
+++ b/src/core/lead.c
@@ -128,6 +128,11 @@
     ow_node_cloud(lead->node, request, on_types, lead, NULL, NULL);
 }
 
+void ow_lead_wake(struct ow_lead *lead)
+{
+    lead->dirty = true;
+}
+
 void ow_lead_tick(struct ow_lead *lead)
 {
     double now = lead->node->now;
--- a/src/core/lead.h
+++ b/src/core/lead.h
@@ -11,6 +11,8 @@
 void ow_lead_free(struct ow_lead *lead);
 /* Takes a worker's report and answers it. */
 void ow_lead_report(struct ow_lead *lead, uint64_t request, const struct ow_report *report);
+/* Jobs have changed: a scheduling pass is due. */
+void ow_lead_wake(struct ow_lead *lead);
 void ow_lead_tick(struct ow_lead *lead);
 
 #endif
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -45,7 +45,7 @@
 void ow_node_cloud(struct ow_node *node, struct ow_cloud_request *request, ow_call_fn fn, void *owner, void *data,
                    void (*free_data)(void *));
 void ow_node_tell_peers(struct ow_node *node, struct ow_peer_message *message);
-/* Tells the coordinator that a job's record has changed. */
+/* Tells the coordinator, here or elsewhere, that a job's record has changed. */
 void ow_node_nudge(struct ow_node *node, uint64_t revision);
 void ow_node_set_types(struct ow_node *node, const GArray *types);
 
--- a/src/core/orders.c
+++ b/src/core/orders.c
@@ -14,9 +14,8 @@
 
 static void order_attempt(struct ow_attempt *at, GArray *orders, GArray *starts)
 {
-    /* Rule 1: no launch leaves before the record that names its attempt and machine has committed. */
-    if (at->state == OW_AT_PLANNED)
-        return;
+    /* Rule 1: no launch leaves before the record that names its attempt and machine has committed: there is
+       none for what is only planned. */
     if (at->state == OW_AT_COMMITTED || at->state == OW_AT_SENT) {
         /* Also for a task no longer wanted whose launch may be in flight: launched and stopped in one
            go it is known to the worker as ended, and the late launch finds it there. */
--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -1,5 +1,6 @@
 #include "core/replica.h"
 
+#include "core/lead.h"
 #include "core/node.h"
 #include "core/records.h"
 #include "wire/records_json.h"
@@ -95,6 +96,8 @@
 static void took_changes(struct ow_replica *r, const struct ow_store_reply *reply)
 {
     apply_items(r, reply->items);
+    if (r->node->lead != NULL && reply->items->len > 0)
+        ow_lead_wake(r->node->lead);
     r->revision = MAX(r->revision, reply->revision);
 }
 
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -121,6 +121,25 @@
     end_world(w);
 }
 
+/* Rule 6: a task that comes later must join those that are there, even if only another zone has room. */
+static void test_an_array_stays_in_its_zone(void **state)
+{
+    (void)state;
+    struct world *w = start_world();
+    world_add_machine(w, "m-0", "big", "east", false);
+    world_run(w, 6);
+    w->run_s = 30;
+    struct ow_submission *s = world_job("run-1", 3, 8);
+    s->one_zone = true;
+    world_submit(w, 0, s);
+    assert_true(world_until(w, 10, world_some_running, "run-1"));
+    world_add_machine(w, "m-1", "big", "west", false);
+    world_run(w, 15);
+    assert_int_equal(world_machine(w, "m-1")->starts, 0);
+    assert_true(world_until(w, 120, world_all_done, "run-1"));
+    end_world(w);
+}
+
 static void test_spread(void **state)
 {
     (void)state;
@@ -256,6 +275,7 @@
         cmocka_unit_test(test_a_short_gang_keeps_its_place_and_its_room),
         cmocka_unit_test(test_holds_drop_after_the_waiting_limit),
         cmocka_unit_test(test_one_zone),
+        cmocka_unit_test(test_an_array_stays_in_its_zone),
         cmocka_unit_test(test_spread),
         cmocka_unit_test(test_types_zones_and_spot_are_kept),
         cmocka_unit_test(test_urgent_gangs_stop_lower_work),
--- a/tests/test_safety.c
+++ b/tests/test_safety.c
@@ -170,6 +170,82 @@
     end_world(w);
 }
 
+/* Rules 2 and 4: what a worker says before it has seen the new token, an older coordinator may still change.
+   It frees no task and invites none. */
+static void test_a_report_under_an_old_token_proves_nothing(void **state)
+{
+    (void)state;
+    struct world *w = start_world(2);
+    w->run_s = 200;
+    w->cloud_down = true;
+    world_submit(w, 0, world_job("run-1", 1, 1));
+    assert_true(world_until(w, 10, world_some_running, "run-1"));
+    world_run(w, 3);
+    struct world_machine *m = where(w, "run-1");
+    uint64_t token = m->token;
+    for (guint i = 0; i < w->machines->len; i++)
+        ((struct world_machine *)g_ptr_array_index(w->machines, i))->cut = true;
+    m->renewed_at = w->now + 1000;
+    world_kill_node(w, world_leader(w));
+    world_run(w, 8);
+    int node = world_leader(w);
+    world_report(w, node, m, m->seq + 1, token);
+    world_submit(w, node, world_job("run-2", 1, 1));
+    world_run(w, 3);
+    assert_non_null(strstr(world_value_text(w, "p/run-1/0"), m->name));
+    assert_null(world_value_text(w, "p/run-2/0"));
+    end_world(w);
+}
+
+/* A transaction of a coordinator that has been deposed meanwhile decides nothing, however late it comes. */
+static void test_a_deposed_coordinator_writes_nothing(void **state)
+{
+    (void)state;
+    struct world *w = start_world(1);
+    int old = world_leader(w);
+    w->keep_held = true;
+    w->hold_next = 1;
+    w->hold_node = old;
+    world_submit(w, (old + 1) % WORLD_NODES, world_job("run-1", 1, 1));
+    world_run(w, 0.4);
+    assert_int_equal(w->held->len, 1);
+    w->denied_node = old;
+    world_machine(w, "m-0")->cut = true; /* so that the new one has nothing to write */
+    world_run(w, 12);
+    assert_true(world_leader(w) != old);
+    w->keep_held = false;
+    world_run(w, 1);
+    assert_int_equal(w->held->len, 0);
+    assert_null(world_value_text(w, "p/run-1/0"));
+    end_world(w);
+}
+
+/* Nor does one of its own that newer ones have overtaken. */
+static void test_an_overtaken_record_is_not_written(void **state)
+{
+    (void)state;
+    struct world *w = start_world(2);
+    w->run_s = 200;
+    int leader = world_leader(w);
+    w->keep_held = true;
+    w->hold_next = 1;
+    w->hold_node = leader;
+    world_submit(w, (leader + 1) % WORLD_NODES, world_job("run-1", 1, 1));
+    assert_true(world_until(w, 10, world_some_running, "run-1"));
+    assert_int_equal(w->held->len, 1);
+    struct world_machine *m = where(w, "run-1");
+    m->gone = true;
+    g_array_set_size(m->tasks, 0);
+    assert_true(world_until(w, 60, runs_on_another, m));
+    char *before = g_strdup(world_value_text(w, "p/run-1/0"));
+    w->keep_held = false;
+    world_run(w, 0.2);
+    assert_int_equal(w->held->len, 0);
+    assert_string_equal(world_value_text(w, "p/run-1/0"), before);
+    g_free(before);
+    end_world(w);
+}
+
 /* Rule 4: a new coordinator starts nothing on a machine before it has its report under the new token. */
 static void test_nothing_starts_before_the_new_token_is_seen(void **state)
 {
@@ -343,6 +419,9 @@
         cmocka_unit_test(test_a_machine_with_an_old_token_is_not_given_up),
         cmocka_unit_test(test_a_floating_launch_is_not_cleared),
         cmocka_unit_test(test_a_result_is_kept_until_recorded),
+        cmocka_unit_test(test_a_report_under_an_old_token_proves_nothing),
+        cmocka_unit_test(test_a_deposed_coordinator_writes_nothing),
+        cmocka_unit_test(test_an_overtaken_record_is_not_written),
         cmocka_unit_test(test_nothing_starts_before_the_new_token_is_seen),
         cmocka_unit_test(test_inherited_attempts_count_against_the_limit),
         cmocka_unit_test(test_a_withdrawal_ends_a_launch_in_flight),
--- a/tests/test_store_core.c
+++ b/tests/test_store_core.c
@@ -126,6 +126,7 @@
 {
     (void)state;
     struct world *w = start_world(3, 1);
+    w->deaf_watches = true;
     uint64_t first = world_submit(w, 0, world_job("run-1", 1, 1));
     /* Node 1 has not read it yet, and by its text it can never run. */
     world_run(w, 0.1);
@@ -168,6 +169,7 @@
     uint64_t poll = world_poll(w, 1, "run-1");
     world_run(w, 0.3);
     assert_int_equal(status_of(w, poll), 200);
+    w->deaf_watches = true;
     uint64_t withdrawal = world_withdraw(w, 2, "run-1");
     world_run(w, 0.3);
     assert_int_equal(status_of(w, withdrawal), 200);
--- a/tests/world.c
+++ b/tests/world.c
@@ -115,6 +115,7 @@
     g_array_set_clear_func(w->log, event_clear);
     w->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     w->revision = 1;
+    w->denied_node = -1;
     w->held = g_ptr_array_new();
     w->follows = g_ptr_array_new();
     w->machines = g_ptr_array_new();
@@ -367,13 +368,15 @@
 {
     const struct ow_store_request *r = e->store;
     uint64_t nonce = w->node_nonce[node];
-    if (w->state_down) {
+    if (w->state_down || node == w->denied_node) {
         answer_store(w, node, nonce, r->tag, 503, NULL, 0, NULL);
         return;
     }
     switch (r->op) {
     case OW_STORE_TXN:
-        if (w->hold_txns) {
+        bool next = w->hold_next > 0 && node == w->hold_node;
+        if (w->hold_txns || next) {
+            w->hold_next -= next ? 1 : 0;
             struct held_txn *h = g_new0(struct held_txn, 1);
             *h = (struct held_txn){node, nonce, g_steal_pointer(&e->store), w->now + 1.5};
             g_ptr_array_add(w->held, h);
@@ -440,7 +443,7 @@
             answer_store(w, h->node, h->nonce, h->request->tag, 0, NULL, 0, NULL);
             h->nonce = 0;
         }
-        if (w->hold_txns)
+        if (w->hold_txns || w->keep_held)
             continue;
         if (h->nonce != 0) {
             do_txn(w, h->node, h->nonce, h->request);
@@ -456,7 +459,7 @@
     for (guint i = w->follows->len; i > 0 && !w->state_down; i--) {
         struct follow *f = g_ptr_array_index(w->follows, i - 1);
         GArray *items = changes_since(w, f->prefix, f->since);
-        if (items->len == 0 && w->now < f->until) {
+        if ((items->len == 0 || w->deaf_watches) && w->now < f->until) {
             g_array_free(items, TRUE);
             continue;
         }
@@ -637,7 +640,10 @@
 /* The answer to a report: requests of workers carry their machine's index above 2^32. */
 static void take_report_answer(struct world *w, int node, const struct ow_effect *e)
 {
-    struct world_machine *m = g_ptr_array_index(w->machines, (guint)(e->request >> 32) - 1);
+    guint index = (guint)(e->request >> 32) - 1;
+    if (index >= w->machines->len)
+        return; /* nobody waits for it */
+    struct world_machine *m = g_ptr_array_index(w->machines, index);
     if (!m->report_busy || (uint32_t)e->request != (uint32_t)m->seq || m->cut || m->hangs)
         return;
     m->report_busy = false;
@@ -832,6 +838,17 @@
     return w->last_request;
 }
 
+void world_report(struct world *w, int node, const struct world_machine *m, uint64_t seq, uint64_t token)
+{
+    struct world_machine copy = *m;
+    struct ow_command *c = command(OW_COMMAND_REPORT, (uint64_t)1 << 60);
+    copy.seq = seq - 1;
+    copy.token = token;
+    c->report = make_report(&copy);
+    g_array_set_size(c->report->tasks, 0);
+    deliver(w, node, w->node_nonce[node], 0, c);
+}
+
 uint64_t world_submit(struct world *w, int node, struct ow_submission *submission)
 {
     struct ow_command *c = command(OW_COMMAND_SUBMIT, 0);
--- a/tests/world.h
+++ b/tests/world.h
@@ -58,6 +58,11 @@
     GHashTable *leases; /* id -> double *: ends at */
     uint64_t revision, last_lease;
     bool state_down, cloud_down, hold_txns, lose_txn_answers;
+    bool deaf_watches; /* open watches tell nothing before their time is over */
+    bool keep_held;    /* what is held stays held */
+    unsigned hold_next; /* so many of the next transactions of `hold_node` are held */
+    int hold_node;
+    int denied_node;    /* the state service answers it 503; -1: none */
     GPtrArray *held;    /* transactions not yet carried out */
     GPtrArray *follows; /* open watches */
     unsigned txns;
@@ -88,6 +93,8 @@
 int world_leader(const struct world *w);
 
 /* Requests of users to a node; the answer comes while the world runs. */
+/* A report that comes late or is made up, to a node. */
+void world_report(struct world *w, int node, const struct world_machine *m, uint64_t seq, uint64_t token);
 uint64_t world_submit(struct world *w, int node, struct ow_submission *submission);
 uint64_t world_poll(struct world *w, int node, const char *id);
 uint64_t world_withdraw(struct world *w, int node, const char *id);
