--- a/tests/test_safety.c
+++ b/tests/test_safety.c
@@ -49,12 +49,17 @@
 {
     (void)state;
     struct world *w = start_world(2);
-    world_submit(w, 0, world_job("run-1", 2, 1));
-    world_run(w, 0.1);
-    w->hold_txns = true;
-    world_run(w, 6);
-    assert_int_equal(world_running(w, "run-1"), 0);
-    w->hold_txns = false;
+    w->hold_node = world_leader(w);
+    w->hold_next = 1000;
+    w->keep_held = true;
+    world_submit(w, (w->hold_node + 1) % WORLD_NODES, world_job("run-1", 2, 1));
+    for (int i = 0; i < 60; i++) {
+        world_run(w, 0.1);
+        assert_int_equal(world_running(w, "run-1"), 0);
+    }
+    assert_true(w->held->len > 0);
+    w->hold_next = 0;
+    w->keep_held = false;
     assert_true(world_until(w, 10, world_some_running, "run-1"));
     end_world(w);
 }
