--- a/tests/test_store_core.c
+++ b/tests/test_store_core.c
@@ -169,7 +169,7 @@
     uint64_t poll = world_poll(w, 1, "run-1");
     world_run(w, 0.3);
     assert_int_equal(status_of(w, poll), 200);
-    w->deaf_watches = true;
+    w->deaf_watches = w->peers_cut = true;
     uint64_t withdrawal = world_withdraw(w, 2, "run-1");
     world_run(w, 0.3);
     assert_int_equal(status_of(w, withdrawal), 200);
--- a/tests/world.c
+++ b/tests/world.c
@@ -912,7 +912,7 @@
     GString *frame = g_string_new(NULL);
     wire_peer_encode(message, frame);
     for (int i = 0; i < WORLD_NODES; i++) {
-        if (i == from || w->cores[i] == NULL)
+        if (i == from || w->cores[i] == NULL || w->peers_cut)
             continue;
         struct ow_command *c = command(OW_COMMAND_PEER, 0);
         c->peer = wire_peer_decode(frame->str + 4, frame->len - 4);
--- a/tests/world.h
+++ b/tests/world.h
@@ -59,6 +59,7 @@
     uint64_t revision, last_lease;
     bool state_down, cloud_down, hold_txns, lose_txn_answers;
     bool deaf_watches; /* open watches tell nothing before their time is over */
+    bool peers_cut;    /* nothing gets from controller to controller */
     bool keep_held;    /* what is held stays held */
     unsigned hold_next; /* so many of the next transactions of `hold_node` are held */
     int hold_node;
