--- a/src/core/care.c
+++ b/src/core/care.c
@@ -90,6 +90,9 @@
         /* Recorded tasks on a machine not yet fenced, or orders that found no ear: try its own address. */
         if (!m->fenced && m->addr != NULL && m->listed != OW_LISTED_BOOTING)
             m->direct_wanted = true;
+        /* A faulty machine is given back; a sound one is rented in its place if it is missed. */
+        if (lead->node->now < m->quarantine_until && m->attempts->len == 0)
+            ow_rent_delete(lead, m, "it is faulty");
         pursue_cancelled(lead, m);
         pursue_silent(lead, m);
     }
@@ -110,11 +113,14 @@
         g_hash_table_remove_all(run->bad_machines);
         return;
     }
-    if (++m->errors < ERRORS_TO_QUARANTINE || now < m->quarantine_until)
+    /* A job with many tasks proves no more against a machine than one with a single task. */
+    m->errors += m->failed_job != run->job ? 1 : 0;
+    m->failed_job = run->job;
+    if (m->errors < ERRORS_TO_QUARANTINE || now < m->quarantine_until)
         return;
     double pause = MIN(240, 30 << MIN(m->quarantines, 3));
     m->quarantines++;
     m->quarantine_until = now + pause;
-    m->errors = ERRORS_TO_QUARANTINE - 1; /* one more failure after it is enough */
+    m->errors = ERRORS_TO_QUARANTINE - 1; /* one more job after it is enough */
     g_info("machine %s fails tasks: nothing is put on it for %.0f s", m->name, pause);
 }
--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -104,7 +104,8 @@
     GArray *direct_starts; /* struct ow_floating: launches of the direct order under way */
     GArray *floating;      /* struct ow_floating: launches of direct orders without an answer */
     GArray *images;        /* struct ow_image_copy */
-    unsigned errors;       /* since the last task that went well */
+    unsigned errors;       /* jobs that failed on it since the last task that went well */
+    const struct ow_job *failed_job; /* the last of them */
     unsigned quarantines;
     double quarantine_until;
     double slowness; /* run time against the estimate's, as seen; 1: as expected */
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -157,6 +157,7 @@
     ow_recorder_chunk(lead, run, task, false);
     if (cause == OW_CAUSE_DONE) {
         m->errors = 0;
+        m->failed_job = NULL;
         take_result(lead, run, task);
         return;
     }
