A refused link to the coordinator hastens the take-over

Cause: a killed coordinator was missed for the 4 s of its lease. A follower whose link to it is refused now takes the key at once; the token and the conditions of every write depose the old one if the hint was wrong, and a leader younger than 8 s is left alone so that two that can't reach each other don't take turns.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -233,6 +233,9 @@
     case OW_PEER_NUDGE:
         ow_replica_hint(node->replica, message->number);
         break;
+    case OW_PEER_LOST:
+        ow_election_lost(node->election, message->node);
+        break;
     case OW_PEER_MACHINES:
         g_array_free(node->machine_hints, TRUE);
         node->machine_hints = g_steal_pointer(&message->machines);
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -35,8 +35,9 @@
     bool spot;
 };
 
+/* LOST is never sent: the link itself says that a controller seems to have ended. */
 struct ow_peer_message {
-    enum { OW_PEER_HELLO = 1, OW_PEER_SUMMARY, OW_PEER_NUDGE, OW_PEER_MACHINES } kind;
+    enum { OW_PEER_HELLO = 1, OW_PEER_SUMMARY, OW_PEER_NUDGE, OW_PEER_MACHINES, OW_PEER_LOST } kind;
     char *node;
     uint64_t number; /* token, or revision of a nudge */
     bool leads, state_ok;
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -6,6 +6,8 @@
 #include "wire/records_json.h"
 
 static const double RETRY_S = 0.4, WATCH_S = 20, WATCH_GAP_S = 0.2;
+/* A leader so young is not taken over on a hint: two that can't reach each other would take turns. */
+static const double HINT_AGE_S = 8;
 
 enum stage { LOOKING, LEASING, TAKING, LEADING };
 
@@ -26,6 +28,7 @@
     bool watching;
     double watch_at;
     uint64_t revision; /* watched since */
+    double led_since;  /* when we first heard of the key's present holder */
 };
 
 struct ow_election *ow_election_new(struct ow_node *node)
@@ -70,6 +73,13 @@
     e->act_at = e->node->now + after_s;
 }
 
+/* A try for the key, with a new lease: one from an earlier try may have run out. */
+static void begin(struct ow_election *e)
+{
+    e->lease = 0;
+    e->stage = LEASING;
+}
+
 static void step_down(struct ow_election *e, const char *why)
 {
     if (e->stage == LEADING) {
@@ -77,11 +87,21 @@
         ow_lead_free(e->node->lead);
         e->node->lead = NULL;
     }
-    e->lease = 0;
     set_leader(e, NULL);
     look_again(e, 0);
 }
 
+void ow_election_lost(struct ow_election *e, const char *node)
+{
+    if (e->stage != LOOKING || e->busy || !e->key_known || e->key_version == 0 || g_strcmp0(e->leader, node) != 0 ||
+        e->node->now - e->led_since < HINT_AGE_S)
+        return;
+    /* Safe even if the hint is wrong: the token and the conditions of every write depose the old one. */
+    g_info("coordinator %s seems to have ended", node);
+    e->act_at = e->node->now;
+    begin(e);
+}
+
 void ow_election_deposed(struct ow_election *e)
 {
     if (e->stage == LEADING)
@@ -122,6 +142,8 @@
     const char *leader = NULL, *nonce = NULL;
     char *ours = nonce_text(e);
     wire_coordinator_record_parse(item->value, &leader, &nonce);
+    if (item->version != e->key_version)
+        e->led_since = e->node->now;
     e->key_version = item->version;
     e->key_known = true;
     if (is_us(e, leader) && g_strcmp0(nonce, ours) == 0 && e->lease != 0 && item->version > e->taken_from) {
@@ -130,7 +152,7 @@
     } else if (is_us(e, leader)) {
         /* An earlier process of this name, which has ended: its key need not run out first. */
         set_leader(e, NULL);
-        e->stage = e->lease != 0 ? TAKING : LEASING;
+        begin(e);
     } else {
         set_leader(e, leader);
         e->seen_token = MAX(e->seen_token, item->version);
@@ -143,7 +165,7 @@
     e->key_version = 0;
     e->key_known = true;
     set_leader(e, NULL);
-    e->stage = e->lease != 0 ? TAKING : LEASING;
+    begin(e);
 }
 
 static void on_look(void *owner, void *data, const struct ow_command *answer)
--- a/src/core/election.h
+++ b/src/core/election.h
@@ -18,6 +18,8 @@
 const char *ow_election_leader(const struct ow_election *election);
 /* Somebody has seen this token; `leader` is its holder's name, or NULL if unknown. */
 void ow_election_saw_token(struct ow_election *election, uint64_t token, const char *leader);
+/* A controller seems to have ended. If it leads, its key is taken over without waiting for its lease. */
+void ow_election_lost(struct ow_election *election, const char *node);
 /* A write of ours failed because the key has changed hands. */
 void ow_election_deposed(struct ow_election *election);
 
--- a/src/io/peer_link.c
+++ b/src/io/peer_link.c
@@ -21,6 +21,7 @@
     GString *out;
     size_t sent;
     bool connected;
+    bool stood; /* since we last said that it is lost */
     double retry_at, moved_at;
 };
 
@@ -37,6 +38,7 @@
     GPtrArray *out; /* struct out_link */
     GPtrArray *in;  /* struct in_link */
     ow_peer_fn take;
+    ow_peer_lost_fn lost;
     void *owner;
 };
 
@@ -47,10 +49,12 @@
         close(l->watch.fd);
     }
     l->watch.fd = -1;
+    bool was_connected = l->connected;
     l->connected = false;
     g_string_truncate(l->out, 0);
     l->sent = 0;
-    l->retry_at = ow_loop_now(l->links->loop) + RETRY_S;
+    /* A lost link is tried again at once: whether anybody listens is worth knowing. */
+    l->retry_at = ow_loop_now(l->links->loop) + (was_connected ? 0 : RETRY_S);
 }
 
 static void push_out(struct out_link *l)
@@ -69,11 +73,16 @@
 {
     struct out_link *l = owner;
     char byte;
-    if (ow_net_connect_error(l->watch.fd) != 0) {
+    int error = l->connected ? 0 : ow_net_connect_error(l->watch.fd);
+    if (error != 0) {
         cut_out(l);
+        if (error == ECONNREFUSED && l->stood) {
+            l->stood = false;
+            l->links->lost(l->links->owner, l->endpoint);
+        }
         return;
     }
-    l->connected = true;
+    l->connected = l->stood = true;
     /* The other side never speaks on this link: readable means closed. */
     if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) && recv(l->watch.fd, &byte, 1, 0) >= 0) {
         cut_out(l);
@@ -172,7 +181,7 @@
 }
 
 struct ow_peer_links *ow_peer_links_new(struct ow_loop *loop, const char *listen_endpoint, ow_peer_fn take,
-                                        void *owner)
+                                        ow_peer_lost_fn lost, void *owner)
 {
     int fd = ow_net_listen(listen_endpoint);
     if (fd < 0)
@@ -180,6 +189,7 @@
     struct ow_peer_links *links = g_new0(struct ow_peer_links, 1);
     links->loop = loop;
     links->take = take;
+    links->lost = lost;
     links->owner = owner;
     links->out = g_ptr_array_new();
     links->in = g_ptr_array_new();
--- a/src/io/peer_link.h
+++ b/src/io/peer_link.h
@@ -10,8 +10,11 @@
 /* Takes over the message. */
 typedef void (*ow_peer_fn)(void *owner, struct ow_peer_message *message);
 
+/* A link that stood is gone and nobody listens there any more: a hint that the process has ended, no proof. */
+typedef void (*ow_peer_lost_fn)(void *owner, const char *endpoint);
+
 struct ow_peer_links *ow_peer_links_new(struct ow_loop *loop, const char *listen_endpoint, ow_peer_fn take,
-                                        void *owner);
+                                        ow_peer_lost_fn lost, void *owner);
 void ow_peer_links_free(struct ow_peer_links *links);
 void ow_peer_links_add(struct ow_peer_links *links, const char *endpoint);
 void ow_peer_links_tell(struct ow_peer_links *links, const struct ow_peer_message *message);
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -140,6 +140,19 @@
     ow_core_push(s->core, c);
 }
 
+static void take_lost(void *owner, const char *endpoint)
+{
+    struct ow_service *s = owner;
+    for (guint i = 0; i < s->settings->peers->len; i++) {
+        const struct ow_peer_settings *peer = &g_array_index(s->settings->peers, struct ow_peer_settings, i);
+        if (strcmp(peer->endpoint, endpoint) != 0)
+            continue;
+        struct ow_peer_message *message = ow_peer_message_new(OW_PEER_LOST);
+        message->node = g_strdup(peer->node);
+        take_peer(s, message);
+    }
+}
+
 /* ---- answers from outside ---- */
 
 static struct ow_command *cloud_answer(const struct asked *a, int status, const char *body, size_t size)
@@ -293,7 +306,7 @@
     s->settings = settings;
     s->asked = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     s->server = ow_http_server_new(loop, &options, handle, s);
-    s->peers = ow_peer_links_new(loop, settings->peer_listen, take_peer, s);
+    s->peers = ow_peer_links_new(loop, settings->peer_listen, take_peer, take_lost, s);
     s->client = ow_http_client_new(loop, take_answer, s);
     s->core = ow_core_new(settings, rules, ow_rng_nonce());
     if (s->server == NULL || s->peers == NULL) {
--- a/tests/test_chaos.c
+++ b/tests/test_chaos.c
@@ -41,6 +41,12 @@
 static void strike_node(struct trouble *t)
 {
     int node = g_rand_int_range(t->rand, 0, WORLD_NODES);
+    int other = (node + 1) % WORLD_NODES;
+    /* Links break with and without their process. */
+    if (g_rand_boolean(t->rand) && t->w->cores[other] != NULL)
+        world_lose_link(t->w, other, node);
+    if (g_rand_int_range(t->rand, 0, 4) == 0)
+        return;
     if (t->w->cores[node] != NULL)
         world_kill_node(t->w, node);
     else
@@ -173,7 +179,7 @@
 static void test_troubles_on_troubles(void **state)
 {
     (void)state;
-    for (guint32 seed = 1; seed <= 25; seed++)
+    for (guint32 seed = 1; seed <= 30; seed++)
         play(seed);
 }
 
--- a/tests/test_store_core.c
+++ b/tests/test_store_core.c
@@ -47,6 +47,26 @@
     end_world(w);
 }
 
+static void test_a_lost_link_to_the_leader_is_reason_enough(void **state)
+{
+    (void)state;
+    struct world *w = start_world(3, 1);
+    world_run(w, 8);
+    int first = world_leader(w), other = (first + 1) % WORLD_NODES;
+    world_kill_node(w, first);
+    world_lose_link(w, other, first);
+    world_run(w, 0.5);
+    assert_int_equal(world_leader(w), other);
+    /* Two that can't reach each other must not take turns. */
+    world_start_node(w, first);
+    world_run(w, 2);
+    uint64_t token = ow_core_token(w->cores[other]);
+    world_lose_link(w, first, other);
+    world_run(w, 1);
+    assert_true(ow_core_token(w->cores[other]) == token);
+    end_world(w);
+}
+
 static void test_a_quick_restart_leads_again_at_once(void **state)
 {
     (void)state;
@@ -247,6 +267,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_one_leads_and_another_takes_over),
+        cmocka_unit_test(test_a_lost_link_to_the_leader_is_reason_enough),
         cmocka_unit_test(test_a_quick_restart_leads_again_at_once),
         cmocka_unit_test(test_a_lost_answer_to_the_election_is_read_back),
         cmocka_unit_test(test_a_leader_keeps_its_turn_through_an_outage),
--- a/tests/world.c
+++ b/tests/world.c
@@ -954,6 +954,14 @@
     w->cores[node] = ow_core_new(&w->settings[node], &w->rules, w->nonce);
 }
 
+void world_lose_link(struct world *w, int node, int lost)
+{
+    struct ow_command *c = command(OW_COMMAND_PEER, 0);
+    c->peer = ow_peer_message_new(OW_PEER_LOST);
+    c->peer->node = g_strdup(w->settings[lost].node);
+    deliver(w, node, w->node_nonce[node], 0.01, c);
+}
+
 void world_kill_node(struct world *w, int node)
 {
     ow_core_free(w->cores[node]);
--- a/tests/world.h
+++ b/tests/world.h
@@ -87,6 +87,8 @@
 struct world_machine *world_machine(struct world *w, const char *name);
 void world_start_node(struct world *w, int node);
 void world_kill_node(struct world *w, int node);
+/* The link from one node to another breaks, and nobody listens there. */
+void world_lose_link(struct world *w, int node, int lost);
 void world_run(struct world *w, double seconds);
 /* Runs until the predicate holds; false if it does not within the time. */
 bool world_until(struct world *w, double seconds, bool (*holds)(struct world *w, const void *what), const void *what);
