--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -10,6 +10,7 @@
 static const double SPOT_PATIENCE = 2;
 /* Room kept ready beyond what a class uses, where a boot takes longer than it may wait. */
 static const double SPARE_SHARE = 0.5;
+static const double HELP_PATIENCE = 0.6;
 /* How many times the start of a machine with GPUs other work must wait to be given one. */
 static const double WASTE_PATIENCE = 1.5;
 enum { RENT_MOST = 8 };
@@ -224,6 +225,8 @@
                 /* Work without need of GPUs gets a machine with them only if it would wait far longer. */
                 if (wasteful(t, spec) && (proper || waits < WASTE_PATIENCE * start_s(t, spec)))
                     continue;
+                if (waits < HELP_PATIENCE * start_s(t, spec))
+                    continue; /* it would come too late to help */
                 if (!offered_in(t, *zone) || slots == 0 || !ow_place_allowed(lead, spec, &c.machine) ||
                     refused(lead, type, z, spot != 0))
                     continue;
