--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -9,6 +9,8 @@
 static const double SOUGHT_S = 15;
 /* The share of a class's slack that tasks may wait for a machine with their image, if a fetch is dear. */
 static const double IMAGE_PATIENCE = 0.9;
+/* The same while the machine has other work of the class to do meanwhile. */
+static const double BUSY_PATIENCE = 1.5;
 /* A fetch so short is never worth waiting for. */
 static const double SHORT_FETCH_S = 10;
 
@@ -207,6 +209,20 @@
     return slots;
 }
 
+/* Whether other work waits that the machine could start at once with the images it has. */
+static bool has_work_for_its_images(const struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m)
+{
+    for (guint i = 0; i < lead->runs->len; i++) {
+        const struct ow_run *other = g_ptr_array_index(lead->runs, i);
+        const struct ow_spec *spec = other->job->spec;
+        const struct ow_image_copy *copy = other != run ? ow_book_image(m, spec->image) : NULL;
+        if (copy != NULL && copy->present && spec->class_index == run->job->spec->class_index &&
+            ow_run_pending(other) > 0 && ow_place_allowed(lead, spec, m))
+            return true;
+    }
+    return false;
+}
+
 /* A machine without the image is left alone while those that have it get through the work sooner than it
    could fetch the image, as long as the aims of the class leave the time. */
 static bool better_to_wait(struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m, double wait_s)
@@ -216,8 +232,11 @@
     double slack = ow_class_slack_s(lead->node, run->job->spec->class_index);
     /* A fetch that costs more than the work it serves is made only when the aims need it. */
     bool dear = fetch_s > ow_class_run_s(lead->node, run->job->spec);
-    return fetch_s > SHORT_FETCH_S &&
-           ((wait_s < fetch_s && waits < slack) || (dear && waits < IMAGE_PATIENCE * slack));
+    if (fetch_s <= SHORT_FETCH_S)
+        return false;
+    if (dear && waits < BUSY_PATIENCE * slack && has_work_for_its_images(lead, run, m))
+        return true;
+    return (wait_s < fetch_s && waits < slack) || (dear && waits < IMAGE_PATIENCE * slack);
 }
 
 void ow_place_array(struct ow_lead *lead, struct ow_run *run)
