--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -3,14 +3,14 @@
 
 #include <math.h>
 
-static const double LIST_S = 10, REFUSAL_S = 60, IDLE_S = 25;
+static const double LIST_S = 10, REFUSAL_S = 60, IDLE_S = 10;
 /* The share of a class's slack that may be spent on waiting for machines that are there. */
 static const double PATIENCE = 0.75;
 /* How much longer a spot machine is kept idle than an ordinary one. */
 static const double SPOT_PATIENCE = 2;
 /* Room kept ready beyond what a class uses, where a boot takes longer than it may wait. */
 static const double SPARE_SHARE = 0.5;
-static const double HELP_PATIENCE = 0.6;
+static const double HELP_PATIENCE = 1.5;
 /* How many times the start of a machine with GPUs other work must wait to be given one. */
 static const double WASTE_PATIENCE = 1.5;
 enum { RENT_MOST = 8 };
