--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -382,27 +382,34 @@
     return ow_class_slack_s(lead->node, class_index) < 2 * type->boot_s + fetch + 20;
 }
 
-/* Slots of the class on a machine, full and free ones, if it is a proper place for it. */
-static uint32_t proper_slots(const struct ow_lead *lead, const struct ow_class *c, const struct ow_machine *m)
+/* Whether the machine's GPUs would be wasted on the class. */
+static bool improper(const struct ow_machine_type *type, const struct ow_class *c)
+{
+    return type->size.gpus > 0 && c->need.gpus <= 0;
+}
+
+/* Slots of the class on a machine, full and free ones. */
+static uint32_t class_slots(const struct ow_lead *lead, const struct ow_class *c, const struct ow_machine *m,
+                            bool proper)
 {
     const struct ow_machine_type *type = ow_machine_spec(lead, m);
-    if (type == NULL || (type->size.gpus > 0 && c->need.gpus <= 0) || (m->spot && !c->spot) ||
+    if (type == NULL || (proper && improper(type, c)) || (m->spot && !c->spot) ||
         (c->types & (UINT64_C(1) << m->type)) == 0)
         return 0;
     return whole_slots(type, &c->need);
 }
 
 /* `plan` may be NULL: machines that are up alone. */
-static uint32_t slots_there(const struct ow_lead *lead, const struct ow_class *c, const GArray *plan)
+static uint32_t slots_there(const struct ow_lead *lead, const struct ow_class *c, bool proper, const GArray *plan)
 {
     uint32_t slots = 0;
     for (guint i = 0; i < lead->machines->len; i++) {
         const struct ow_machine *m = g_ptr_array_index(lead->machines, i);
         if (ow_book_usable(lead, m))
-            slots += proper_slots(lead, c, m);
+            slots += class_slots(lead, c, m, proper);
     }
     for (guint i = 0; plan != NULL && i < plan->len; i++)
-        slots += proper_slots(lead, c, &g_array_index(plan, struct coming, i).machine);
+        slots += class_slots(lead, c, &g_array_index(plan, struct coming, i).machine, proper);
     return slots;
 }
 
@@ -422,18 +429,11 @@
     return tasks;
 }
 
-/* Slots that a class should find: what it used lately and some more. */
-static double spare_target(struct ow_lead *lead, int class_index, uint32_t tasks)
-{
-    double peak = ow_class_peak(lead->node, class_index, tasks);
-    return peak + MAX(ow_class_of(lead->node, class_index)->largest, SPARE_SHARE * peak);
-}
-
 static void plan_spare(struct ow_lead *lead, GArray *plan, unsigned *most)
 {
     for (guint i = 0; i < lead->node->classes->len; i++) {
         const struct ow_run *sample = NULL;
-        uint32_t tasks = class_tasks(lead, (int)i, &sample);
+        double peak = ow_class_peak(lead->node, (int)i, class_tasks(lead, (int)i, &sample));
         struct coming c;
         if (sample == NULL || !best_kind(lead, sample->job->spec, INFINITY, true, &c))
             continue;
@@ -441,8 +441,9 @@
         const struct ow_class *class = ow_class_of(lead->node, (int)i);
         if (!is_tight(lead, (int)i, type))
             continue;
-        double wanted = spare_target(lead, (int)i, tasks);
-        while (*most > 0 && slots_there(lead, class, plan) < wanted &&
+        /* What it used lately and some more. */
+        double wanted = peak + MAX(class->largest, SPARE_SHARE * peak);
+        while (*most > 0 && slots_there(lead, class, true, plan) < wanted &&
                best_kind(lead, sample->job->spec, INFINITY, true, &c)) {
             g_array_append_val(plan, c);
             (*most)--;
@@ -499,10 +500,13 @@
     struct ow_node *node = lead->node;
     for (guint i = 0; type != NULL && i < node->classes->len; i++) {
         const struct ow_class *c = ow_class_of(node, (int)i);
-        uint32_t slots = proper_slots(lead, c, m);
+        bool proper = !improper(type, c);
+        uint32_t slots = class_slots(lead, c, m, proper);
         if (!c->seen || slots == 0 || !is_tight(lead, (int)i, type))
             continue;
-        if (slots_there(lead, c, NULL) < c->peak * (1 + SPARE_SHARE) + c->largest + slots)
+        /* An improper machine is kept only for what the class really had running lately. */
+        double wanted = proper ? c->peak * (1 + SPARE_SHARE) + c->largest : c->peak;
+        if (slots_there(lead, c, proper, NULL) < wanted + slots)
             return true;
     }
     return false;
