--- a/src/core/core.c
+++ b/src/core/core.c
@@ -368,12 +368,12 @@
 bool ow_core_healthy(const struct ow_core *core)
 {
     const struct ow_node *node = &core->node;
-    if (!ow_replica_loaded(node->replica) || !node->types_known)
-        return false;
-    /* In an outage of the state service every controller is as good as the next; if it fails for this one
-       alone, users are better off elsewhere. */
+    /* In an outage of the state service every controller is as good as the next, also one that has just
+       started: left out by the load balancer it would be missed for seconds after the outage. If it fails for
+       this one alone, users are better off elsewhere. */
+    bool starting = !ow_replica_loaded(node->replica) || !node->types_known;
     bool blind = node->state_bad_since > 0 && node->now - node->state_bad_since > STATE_BAD_S;
-    return !blind || !peer_state_ok(node);
+    return !(starting || blind) || !peer_state_ok(node);
 }
 
 uint64_t ow_core_token(const struct ow_core *core)
--- a/tests/test_store_core.c
+++ b/tests/test_store_core.c
@@ -125,6 +125,25 @@
     end_world(w);
 }
 
+static void test_health_tells_an_outage_from_a_refusal_of_one(void **state)
+{
+    (void)state;
+    struct world *w = start_world(3, 1);
+    w->denied_node = 2;
+    world_run(w, 5);
+    assert_false(ow_core_healthy(w->cores[2]));
+    assert_true(ow_core_healthy(w->cores[0]) && ow_core_healthy(w->cores[1]));
+    w->denied_node = -1;
+    w->state_down = true;
+    world_run(w, 10);
+    world_kill_node(w, 0);
+    world_start_node(w, 0);
+    world_run(w, 2);
+    for (int i = 0; i < WORLD_NODES; i++)
+        assert_true(ow_core_healthy(w->cores[i]));
+    end_world(w);
+}
+
 static void test_repeats_are_known_by_their_id(void **state)
 {
     (void)state;
@@ -272,6 +291,7 @@
         cmocka_unit_test(test_a_lost_answer_to_the_election_is_read_back),
         cmocka_unit_test(test_a_leader_keeps_its_turn_through_an_outage),
         cmocka_unit_test(test_submissions_in_an_outage_are_answered_at_once),
+        cmocka_unit_test(test_health_tells_an_outage_from_a_refusal_of_one),
         cmocka_unit_test(test_repeats_are_known_by_their_id),
         cmocka_unit_test(test_a_repeat_that_was_just_accepted_elsewhere_is_no_422),
         cmocka_unit_test(test_limits_of_teams_are_refused),
