--- a/src/core/core.c
+++ b/src/core/core.c
@@ -11,7 +11,7 @@
 
 #include <string.h>
 
-static const double HELLO_S = 1, TYPES_RETRY_S = 1.5, STATE_BAD_S = 2, PEER_WORD_S = 4, BUSY_PAUSE_S = 0.05;
+static const double HELLO_S = 1, TYPES_RETRY_S = 1.5, STATE_BAD_S = 2, STATE_RECENT_S = 12, PEER_WORD_S = 4, BUSY_PAUSE_S = 0.05;
 enum { QUEUES = OW_COMMAND_SUBMIT + 1, SUBMITS_MOST = 400 };
 
 struct ow_core {
@@ -285,7 +285,9 @@
     message->node = g_strdup(node->settings->node);
     message->number = ow_election_token(node->election);
     message->leads = message->number > 0;
-    message->state_ok = node->state_ok_at > 0 && node->state_bad_since == 0;
+    /* An open watch says nothing: it hangs in an outage as it does in peace. */
+    message->state_ok = node->state_ok_at > 0 && node->state_bad_since == 0 &&
+                        node->now - node->state_ok_at < STATE_RECENT_S;
     ow_node_tell_peers(node, message);
 }
 
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -3,7 +3,7 @@
 
 #include <math.h>
 
-static const double LIST_S = 10, REFUSAL_S = 60, IDLE_S = 10;
+static const double LIST_S = 10, REFUSAL_S = 60, IDLE_S = 25;
 /* The share of a class's slack that may be spent on waiting for machines that are there. */
 static const double PATIENCE = 0.75;
 /* How much longer a spot machine is kept idle than an ordinary one. */
