--- a/src/core/classes.c
+++ b/src/core/classes.c
@@ -30,7 +30,6 @@
     c->rank = s->rank;
     c->types = spec->types;
     c->seen = true;
-    c->seen_at = node->now;
 }
 
 void ow_class_saw_run(struct ow_node *node, const struct ow_spec *spec, double ran_s)
--- a/src/core/classes.h
+++ b/src/core/classes.h
@@ -15,7 +15,6 @@
     bool gang, spot;
     enum ow_rank rank;
     uint64_t types;
-    double seen_at;
     double peak, peak_at; /* tasks that ran or waited at once, slowly forgotten */
 };
 
--- a/src/core/door.c
+++ b/src/core/door.c
@@ -49,15 +49,22 @@
 
 /* ---- polls, and submissions of known jobs ---- */
 
-static void answer_fresh(struct ow_node *node, void *data, bool ok)
+/* The job that a visit asks for, after a read for it; if there is none, the visit is answered. */
+static const struct ow_job *job_or_refusal(struct ow_node *node, const struct visit *v, bool ok)
 {
-    const struct visit *v = data;
     const struct ow_job *job = ow_jobs_find(node->jobs, v->id);
     if (!ok)
         refuse_busy(node, v->request, "the state service does not answer");
     else if (job == NULL)
         ow_node_refuse(node, v->request, 404, "no such job", 0);
-    else
+    return ok ? job : NULL;
+}
+
+static void answer_fresh(struct ow_node *node, void *data, bool ok)
+{
+    const struct visit *v = data;
+    const struct ow_job *job = job_or_refusal(node, v, ok);
+    if (job != NULL)
         answer_job(node, v->request, 200, job);
 }
 
@@ -74,13 +81,6 @@
 
 /* ---- teams ---- */
 
-static void add_amounts(struct ow_amounts *sum, const struct ow_amounts *need, double times)
-{
-    sum->cpus += times * need->cpus;
-    sum->gpus += times * need->gpus;
-    sum->memory_gb += times * need->memory_gb;
-}
-
 static void add_job_to_team(struct ow_team_view *view, const struct ow_job *job)
 {
     const struct ow_submission *s = job->spec->submission;
@@ -89,8 +89,8 @@
     int running = MAX(job->running, 0), waiting = MAX((int)s->tasks - MAX(job->done, 0) - running, 0);
     view->jobs++;
     view->waiting_jobs += waiting > 0 ? 1 : 0;
-    add_amounts(&view->running, &s->need, running);
-    add_amounts(&view->waiting, &s->need, waiting);
+    ow_amounts_add(&view->running, &s->need, running);
+    ow_amounts_add(&view->waiting, &s->need, waiting);
 }
 
 void ow_door_teams(struct ow_node *node, uint64_t request)
@@ -235,12 +235,8 @@
 static void withdraw_fresh(struct ow_node *node, void *data, bool ok)
 {
     const struct visit *v = data;
-    const struct ow_job *job = ow_jobs_find(node->jobs, v->id);
-    if (!ok)
-        refuse_busy(node, v->request, "the state service does not answer");
-    else if (job == NULL)
-        ow_node_refuse(node, v->request, 404, "no such job", 0);
-    else
+    const struct ow_job *job = job_or_refusal(node, v, ok);
+    if (job != NULL)
         withdraw_known(node, v->request, job);
 }
 
--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -47,8 +47,7 @@
     uint32_t index;
     uint64_t version; /* of its record; 0: none */
     uint64_t last_attempt;
-    bool dirty, launching, writing;
-    double dirty_at;
+    bool dirty, writing;
 };
 
 struct ow_run {
@@ -65,7 +64,6 @@
     GHashTable *bad_machines; /* machines where a task of it failed -> nothing */
     struct ow_reservation *reservation; /* of a waiting gang; owned by reservation.c */
     double came_at;         /* when this coordinator first saw it */
-    double started_at;      /* of its first task, 0: not yet */
 };
 
 /* ---- machines: book.c ---- */
@@ -225,8 +223,6 @@
 void ow_recorder_finish(struct ow_lead *lead, struct ow_run *run);
 void ow_recorder_drop(struct ow_lead *lead, const char *key, uint64_t version);
 void ow_recorder_tick(struct ow_lead *lead);
-/* How many changes wait to be written. */
-guint ow_recorder_backlog(const struct ow_lead *lead);
 void ow_recorder_forget(struct ow_lead *lead, const struct ow_run *run);
 
 /* takeover.c */
@@ -246,6 +242,10 @@
     bool conflicted;
 };
 bool ow_place_allowed(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m);
+/* Tasks that fit an empty machine of the type. */
+uint32_t ow_place_whole(const struct ow_machine_type *type, const struct ow_amounts *need);
+/* Whether tasks of the run may be put there now, room aside. */
+bool ow_place_may(const struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m);
 uint32_t ow_place_slots(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m);
 double ow_place_cost(const struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m);
 /* Every machine with room for the job, cheapest first: struct ow_room each. */
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -11,6 +11,8 @@
 static const double IMAGE_PATIENCE = 0.9;
 /* The same while the machine has other work of the class to do meanwhile. */
 static const double BUSY_PATIENCE = 1.5;
+/* Estimates are rough: only a machine so much slower than expected counts as slow. */
+static const double SLOW = 1.7;
 /* A fetch so short is never worth waiting for. */
 static const double SHORT_FETCH_S = 10;
 
@@ -29,6 +31,12 @@
     return need <= 0 ? OW_MAX_TASKS : floor((free + 1e-6) / need);
 }
 
+uint32_t ow_place_whole(const struct ow_machine_type *type, const struct ow_amounts *need)
+{
+    return (uint32_t)MIN(MIN(fit(type->size.cpus, need->cpus), fit(type->size.gpus, need->gpus)),
+                         fit(type->size.memory_gb, need->memory_gb));
+}
+
 uint32_t ow_place_slots(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m)
 {
     const struct ow_machine_type *type = ow_machine_spec(lead, m);
@@ -66,7 +74,7 @@
     const struct ow_spec *spec = run->job->spec;
     const struct ow_machine_type *type = ow_machine_spec(lead, m);
     double cost = ow_book_fetch_s(lead, m, spec);
-    cost += spec->submission->estimate_s * MAX(0, m->slowness - 1);
+    cost += spec->submission->estimate_s * MAX(0, m->slowness - SLOW);
     /* Less urgent work gets only what GPUs leave over, which is nobody else's loss. */
     if (type->size.gpus > 0 && spec->submission->need.gpus <= 0 && (int)spec->submission->rank < lead->gpu_rank)
         cost += GPU_WASTE_S;
@@ -100,14 +108,19 @@
     return false;
 }
 
+bool ow_place_may(const struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m)
+{
+    return ow_book_usable(lead, m) && ow_place_allowed(lead, run->job->spec, m) &&
+           !g_hash_table_contains(run->bad_machines, m);
+}
+
 GArray *ow_place_rooms(const struct ow_lead *lead, const struct ow_run *run)
 {
     GArray *rooms = g_array_new(FALSE, FALSE, sizeof(struct ow_room));
     const struct ow_spec *spec = run->job->spec;
     for (guint i = 0; i < lead->machines->len; i++) {
         struct ow_machine *m = g_ptr_array_index(lead->machines, i);
-        if (!ow_book_usable(lead, m) || !ow_place_allowed(lead, spec, m) ||
-            g_hash_table_contains(run->bad_machines, m))
+        if (!ow_place_may(lead, run, m))
             continue;
         struct ow_room room = {.machine = m, .slots = ow_place_slots(lead, spec, m)};
         if (room.slots == 0)
@@ -190,12 +203,6 @@
     return work;
 }
 
-static double whole_slots(const struct ow_machine_type *type, const struct ow_amounts *need)
-{
-    return MIN(MIN(fit(type->size.cpus, need->cpus), fit(type->size.gpus, need->gpus)),
-               fit(type->size.memory_gb, need->memory_gb));
-}
-
 /* Places for tasks of the run on machines that have its image or fetch it, free or not. */
 static double slots_with_image(struct ow_lead *lead, const struct ow_run *run)
 {
@@ -204,7 +211,7 @@
     for (guint i = 0; i < lead->machines->len; i++) {
         const struct ow_machine *m = g_ptr_array_index(lead->machines, i);
         if (ow_book_usable(lead, m) && ow_place_allowed(lead, spec, m) && ow_book_image(m, spec->image) != NULL)
-            slots += whole_slots(ow_machine_spec(lead, m), &spec->submission->need);
+            slots += ow_place_whole(ow_machine_spec(lead, m), &spec->submission->need);
     }
     return slots;
 }
@@ -259,7 +266,7 @@
         if (fetches && slots > 0 && better_to_wait(lead, run, room->machine, work / slots))
             continue;
         if (fetches)
-            slots += whole_slots(ow_machine_spec(lead, room->machine), &run->job->spec->submission->need);
+            slots += ow_place_whole(ow_machine_spec(lead, room->machine), &run->job->spec->submission->need);
         uint32_t here = MIN(room->slots, ow_place_zone_admits(run, room->machine->zone));
         for (; here > 0 && placed < wanted; here--, placed++)
             ow_place_task(lead, run, ow_place_next_pending(run), number, room->machine);
--- a/src/core/preempt.c
+++ b/src/core/preempt.c
@@ -27,18 +27,13 @@
                               const struct ow_amounts *gone)
 {
     struct ow_machine then = *m;
-    then.used.cpus -= gone->cpus;
-    then.used.gpus -= gone->gpus;
-    then.used.memory_gb -= gone->memory_gb;
+    ow_amounts_add(&then.used, gone, -1);
     return ow_place_slots(lead, spec, &then);
 }
 
 static void add_need(struct ow_amounts *sum, const struct ow_attempt *at)
 {
-    const struct ow_amounts *need = &at->job->spec->submission->need;
-    sum->cpus += need->cpus;
-    sum->gpus += need->gpus;
-    sum->memory_gb += need->memory_gb;
+    ow_amounts_add(sum, &at->job->spec->submission->need, 1);
 }
 
 uint32_t ow_preempt_slots(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m)
--- a/src/core/recorder.c
+++ b/src/core/recorder.c
@@ -60,11 +60,6 @@
     g_free(r);
 }
 
-guint ow_recorder_backlog(const struct ow_lead *lead)
-{
-    return lead->recorder->queue->len;
-}
-
 static struct write *find_write(const struct ow_recorder *r, enum write_kind kind, const void *what)
 {
     for (guint i = 0; i < r->queue->len; i++) {
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -189,9 +189,7 @@
     if (!ow_place_allowed(lead, spec, &c->machine))
         return 0;
     uint32_t slots = MIN(wanted, ow_place_slots(lead, spec, &c->machine));
-    c->machine.used.cpus += slots * spec->submission->need.cpus;
-    c->machine.used.gpus += slots * spec->submission->need.gpus;
-    c->machine.used.memory_gb += slots * spec->submission->need.memory_gb;
+    ow_amounts_add(&c->machine.used, &spec->submission->need, slots);
     return slots;
 }
 
@@ -362,18 +360,6 @@
 
 /* ---- room kept ready for classes that can't wait for a machine to boot ---- */
 
-static uint32_t whole_slots(const struct ow_machine_type *type, const struct ow_amounts *need)
-{
-    double slots = 1e6;
-    if (need->cpus > 0)
-        slots = MIN(slots, floor(type->size.cpus / need->cpus + 1e-6));
-    if (need->gpus > 0)
-        slots = MIN(slots, floor(type->size.gpus / need->gpus + 1e-6));
-    if (need->memory_gb > 0)
-        slots = MIN(slots, floor(type->size.memory_gb / need->memory_gb + 1e-6));
-    return (uint32_t)slots;
-}
-
 /* Whether the class has so little slack that a machine rented at need would come late for it. */
 static bool is_tight(struct ow_lead *lead, int class_index, const struct ow_machine_type *type)
 {
@@ -396,7 +382,7 @@
     if (type == NULL || (proper && improper(type, c)) || (m->spot && !c->spot) ||
         (c->types & (UINT64_C(1) << m->type)) == 0)
         return 0;
-    return whole_slots(type, &c->need);
+    return ow_place_whole(type, &c->need);
 }
 
 /* `plan` may be NULL: machines that are up alone. */
--- a/src/core/reports.c
+++ b/src/core/reports.c
@@ -62,11 +62,8 @@
     const struct ow_spec *spec = job != NULL ? job->spec : NULL;
     const struct ow_machine_type *type = ow_machine_spec(lead, m);
     const struct ow_amounts *need = spec != NULL ? &spec->submission->need : type != NULL ? &type->size : NULL;
-    if (need != NULL) {
-        m->stray.cpus += need->cpus;
-        m->stray.gpus += need->gpus;
-        m->stray.memory_gb += need->memory_gb;
-    }
+    if (need != NULL)
+        ow_amounts_add(&m->stray, need, 1);
     g_info("task %s/%u attempt %" G_GUINT64_FORMAT " on %s is unaccounted for and is stopped", t->job, t->task,
            t->attempt, m->name);
     order(orders, OW_STOP, t);
@@ -79,11 +76,8 @@
     at->state = OW_AT_SEEN;
     at->phase = phase;
     run->running += (phase == OW_RUNNING ? 1 : 0) - (was_running ? 1 : 0);
-    if (phase == OW_RUNNING && at->running_at == 0) {
+    if (phase == OW_RUNNING && at->running_at == 0)
         at->running_at = lead->node->now;
-        if (run->started_at == 0)
-            run->started_at = lead->node->now;
-    }
     ow_book_image_use(lead, at->machine, at->job->spec, phase != OW_FETCHING);
 }
 
--- a/src/core/reservation.c
+++ b/src/core/reservation.c
@@ -154,8 +154,7 @@
     const struct ow_spec *spec = run->job->spec;
     for (guint i = 0; i < lead->machines->len; i++) {
         struct ow_machine *m = g_ptr_array_index(lead->machines, i);
-        if (!ow_book_usable(lead, m) || !ow_place_allowed(lead, spec, m) ||
-            g_hash_table_contains(run->bad_machines, m))
+        if (!ow_place_may(lead, run, m))
             continue;
         uint32_t slots = MIN(ow_preempt_slots(lead, spec, m), run->count);
         if (slots == 0)
@@ -242,8 +241,6 @@
     const struct ow_amounts *need = &run->job->spec->submission->need;
     for (guint i = 0; i < run->reservation->holds->len; i++) {
         struct ow_machine *m = g_array_index(run->reservation->holds, struct ow_hold, i).machine;
-        m->held.cpus += need->cpus;
-        m->held.gpus += need->gpus;
-        m->held.memory_gb += need->memory_gb;
+        ow_amounts_add(&m->held, need, 1);
     }
 }
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -3,12 +3,8 @@
 
 #include <string.h>
 
-static void add(struct ow_amounts *sum, const struct ow_amounts *need, double sign)
-{
-    sum->cpus += sign * need->cpus;
-    sum->gpus += sign * need->gpus;
-    sum->memory_gb += sign * need->memory_gb;
-}
+/* Weight of the newest run in a machine's slowness, and the most that one may say. */
+static const double SPEED_NEWEST = 0.1, SPEED_MOST = 6;
 
 struct ow_amounts *ow_team_used(struct ow_lead *lead, int team)
 {
@@ -96,8 +92,8 @@
     run->tasks[task].attempt = at;
     g_ptr_array_add(run->attempts, at);
     g_ptr_array_add(machine->attempts, at);
-    add(&machine->used, need, 1);
-    add(ow_team_used(lead, run->job->spec->team), need, 1);
+    ow_amounts_add(&machine->used, need, 1);
+    ow_amounts_add(ow_team_used(lead, run->job->spec->team), need, 1);
     return at;
 }
 
@@ -108,8 +104,8 @@
     const struct ow_amounts *need = &at->job->spec->submission->need;
     g_ptr_array_remove_fast(run->attempts, at);
     g_ptr_array_remove_fast(m->attempts, at);
-    add(&m->used, need, -1);
-    add(ow_team_used(lead, at->job->spec->team), need, -1);
+    ow_amounts_add(&m->used, need, -1);
+    ow_amounts_add(ow_team_used(lead, at->job->spec->team), need, -1);
     if (m->attempts->len == 0) {
         m->used = (struct ow_amounts){0}; /* sums of fractions drift */
         m->idle_since = lead->node->now;
@@ -141,6 +137,17 @@
     }
 }
 
+/* What a finished task tells of its class and of its machine. */
+static void learn_speed(struct ow_lead *lead, const struct ow_attempt *at)
+{
+    const struct ow_spec *spec = at->job->spec;
+    double ran = lead->node->now - at->running_at, expected = ow_class_run_s(lead->node, spec);
+    /* A gang is as fast as its slowest machine, which need not be this one. */
+    if (expected > 0 && !spec->submission->gang)
+        at->machine->slowness += SPEED_NEWEST * (MIN(ran / expected, SPEED_MOST) - at->machine->slowness);
+    ow_class_saw_run(lead->node, spec, ran);
+}
+
 void ow_attempt_end(struct ow_lead *lead, struct ow_attempt *at, enum ow_cause cause, const char *proof)
 {
     struct ow_run *run = at->job->run;
@@ -150,7 +157,7 @@
             proof);
     bool stopped = at->stop;
     if (cause == OW_CAUSE_DONE && at->running_at > 0)
-        ow_class_saw_run(lead->node, run->job->spec, lead->node->now - at->running_at);
+        learn_speed(lead, at);
     detach(lead, at);
     g_free(at);
     lead->dirty = true;
--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -130,15 +130,12 @@
         return;
     for (guint i = 0; i < lead->machines->len && wanted > 0; i++) {
         struct ow_machine *m = g_ptr_array_index(lead->machines, i);
-        if (!ow_book_usable(lead, m) || !ow_place_allowed(lead, spec, m) ||
-            g_hash_table_contains(run->bad_machines, m))
+        if (!ow_place_may(lead, run, m))
             continue;
         uint32_t slots = MIN(wanted, ow_preempt_slots(lead, spec, m));
         if (slots == 0 || !ow_preempt_make_room(lead, run, m, slots))
             continue;
-        m->held.cpus += slots * spec->submission->need.cpus;
-        m->held.gpus += slots * spec->submission->need.gpus;
-        m->held.memory_gb += slots * spec->submission->need.memory_gb;
+        ow_amounts_add(&m->held, &spec->submission->need, slots);
         wanted -= slots;
     }
 }
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -15,7 +15,6 @@
     OW_STORE_FOLLOW,
     OW_STORE_LEASE,
     OW_STORE_RENEW,
-    OW_STORE_END_LEASE,
 };
 
 struct ow_condition {
--- a/src/core/types.c
+++ b/src/core/types.c
@@ -1,5 +1,12 @@
 #include "core/types.h"
 
+void ow_amounts_add(struct ow_amounts *sum, const struct ow_amounts *need, double times)
+{
+    sum->cpus += times * need->cpus;
+    sum->gpus += times * need->gpus;
+    sum->memory_gb += times * need->memory_gb;
+}
+
 void ow_submission_free(struct ow_submission *s)
 {
     if (s == NULL)
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -15,6 +15,9 @@
     double cpus, gpus, memory_gb;
 };
 
+/* Adds `times` as much as `need`; a negative number takes away. */
+void ow_amounts_add(struct ow_amounts *sum, const struct ow_amounts *need, double times);
+
 /* A service is an array whose tasks end only when their job is withdrawn. */
 enum ow_kind { OW_KIND_ARRAY, OW_KIND_GANG, OW_KIND_SERVICE };
 
--- a/src/wire/state_json.c
+++ b/src/wire/state_json.c
@@ -72,10 +72,6 @@
         http.path = g_strdup_printf("%s/%" PRIu64 "/%s", W_PATH_LEASES, r->number, W_PATH_RENEW);
         http.body = g_strdup("{}");
         break;
-    case OW_STORE_END_LEASE:
-        http.method = "DELETE";
-        http.path = g_strdup_printf("%s/%" PRIu64, W_PATH_LEASES, r->number);
-        break;
     }
     return http;
 }
@@ -147,7 +143,6 @@
     case OW_STORE_LEASE:
         return wj_count(o, W_LEASE, &out->lease);
     case OW_STORE_RENEW:
-    case OW_STORE_END_LEASE:
         return true;
     }
     return false;
@@ -160,8 +155,7 @@
     out->items = g_array_new(FALSE, FALSE, sizeof(struct ow_store_item));
     g_array_set_clear_func(out->items, item_clear);
     json_t *o = status == 200 || status == 409 || status == 404 ? wj_object(body, size) : NULL;
-    if (status == 200 && op != OW_STORE_RENEW && op != OW_STORE_END_LEASE &&
-        (o == NULL || !read_success(op, o, out)))
+    if (status == 200 && op != OW_STORE_RENEW && (o == NULL || !read_success(op, o, out)))
         out->status = 0;
     if (status == 409 && o != NULL)
         out->failed = wj_strings(json_object_get(o, W_FAILED));
--- a/tests/world.c
+++ b/tests/world.c
@@ -399,10 +399,6 @@
     case OW_STORE_GET:
         do_get(w, node, nonce, r);
         return;
-    case OW_STORE_END_LEASE:
-        g_hash_table_remove(w->leases, &r->number);
-        answer_store(w, node, nonce, r->tag, 200, NULL, 0, NULL);
-        return;
     }
 }
 
