--- a/src/config/cmdline.c
+++ b/src/config/cmdline.c
@@ -3,14 +3,13 @@
 #include <glib.h>
 #include <stdio.h>
 
-static const char summary[] =
-    "Serves as a controller of the cluster scheduler:\n"
-    "  ospreywell --config FILE [--operators FILE]\n"
-    "or talks to one:\n"
-    "  ospreywell submit FILE   hands in a job (JSON; - for standard input)\n"
-    "  ospreywell show ID       tells a job's state, and why it waits\n"
-    "  ospreywell cancel ID     withdraws a job\n"
-    "  ospreywell teams         tells what each team runs and waits for";
+static const char summary[] = "Serves as a controller of the cluster scheduler:\n"
+                              "  ospreywell --config FILE [--operators FILE]\n"
+                              "or talks to one:\n"
+                              "  ospreywell submit FILE   hands in a job (JSON; - for standard input)\n"
+                              "  ospreywell show ID       tells a job's state, and why it waits\n"
+                              "  ospreywell cancel ID     withdraws a job\n"
+                              "  ospreywell teams         tells what each team runs and waits for";
 
 int ow_cmdline_parse(int argc, char **argv, struct ow_cmdline *out)
 {
@@ -18,10 +17,11 @@
     *out = (struct ow_cmdline){0};
     GOptionEntry entries[] = {
         {"config", 0, 0, G_OPTION_ARG_FILENAME, &out->config, "The platform's settings (TOML)", "FILE"},
-        {"operators", 0, 0, G_OPTION_ARG_FILENAME, &out->operators, "The operators' own settings (XML)", "FILE"},
+        {"operators", 0, 0, G_OPTION_ARG_FILENAME, &out->operators, "The operators' own settings (XML)",
+         "FILE"},
         {"check", 0, 0, G_OPTION_ARG_NONE, &check, "Check the settings and end", NULL},
-        {"server", 0, 0, G_OPTION_ARG_STRING, &out->server, "The controller to talk to (or OSPREYWELL_SERVER)",
-         "ADDRESS:PORT"},
+        {"server", 0, 0, G_OPTION_ARG_STRING, &out->server,
+         "The controller to talk to (or OSPREYWELL_SERVER)", "ADDRESS:PORT"},
         {"version", 0, 0, G_OPTION_ARG_NONE, &version, "Tell the version and end", NULL},
         {G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY, &out->words, NULL, "[COMMAND]"},
         {0},
--- a/src/config/operators_file.c
+++ b/src/config/operators_file.c
@@ -32,7 +32,8 @@
 static void fail(struct reader *r, const char *name, const char *what)
 {
     if (r->fault == NULL)
-        r->fault = g_strdup_printf("line %lu: %s: %s", (unsigned long)XML_GetCurrentLineNumber(r->parser), name, what);
+        r->fault = g_strdup_printf("line %lu: %s: %s", (unsigned long)XML_GetCurrentLineNumber(r->parser),
+                                   name, what);
     XML_StopParser(r->parser, XML_FALSE);
 }
 
@@ -43,8 +44,8 @@
     if (end == text || *end != '\0' || !isfinite(number)) {
         fail(r, v->attribute, "is not a number");
     } else if (number < v->least || number > v->most || (v->whole && number != floor(number))) {
-        char *what = g_strdup_printf("must be %s from %g to %g", v->whole ? "a whole number" : "a number", v->least,
-                                     v->most);
+        char *what = g_strdup_printf("must be %s from %g to %g", v->whole ? "a whole number" : "a number",
+                                     v->least, v->most);
         fail(r, v->attribute, what);
         g_free(what);
     } else if (v->whole) {
--- a/src/config/settings_file.c
+++ b/src/config/settings_file.c
@@ -137,7 +137,8 @@
         o.kind = objective_kind(toml_doc_string(r->doc, kind));
         o.class_name = g_strdup(toml_doc_string(r->doc, name));
         toml_doc_number(r->doc, share, &o.share);
-        if (o.class_name != NULL && toml_doc_number(r->doc, within, &o.within_s) && o.kind != OW_OBJECTIVE_OTHER)
+        if (o.class_name != NULL && toml_doc_number(r->doc, within, &o.within_s) &&
+            o.kind != OW_OBJECTIVE_OTHER)
             g_array_append_val(objectives, o);
         else
             g_free(o.class_name);
--- a/src/core/book.c
+++ b/src/core/book.c
@@ -138,7 +138,8 @@
     struct ow_image_copy *copy = ow_book_image(m, spec->image);
     if (copy == NULL) {
         double ready_at = lead->node->now + ow_book_fetch_s(lead, m, spec);
-        struct ow_image_copy fresh = {spec->image, spec->submission->image_gb, lead->node->now, present, ready_at};
+        struct ow_image_copy fresh = {spec->image, spec->submission->image_gb, lead->node->now, present,
+                                      ready_at};
         g_array_append_val(m->images, fresh);
         forget_old_images(lead, m);
         return;
@@ -160,7 +161,8 @@
     for (guint i = 0; i < m->images->len; i++) {
         const struct ow_image_copy *other = &g_array_index(m->images, struct ow_image_copy, i);
         if (!other->present && other->ready_at > lead->node->now)
-            gb += MIN(other->gb, (other->ready_at - lead->node->now) * (type != NULL ? type->fetch_gb_per_s : 0));
+            gb += MIN(other->gb,
+                      (other->ready_at - lead->node->now) * (type != NULL ? type->fetch_gb_per_s : 0));
     }
     return type != NULL && type->fetch_gb_per_s > 0 ? gb / type->fetch_gb_per_s : 60;
 }
--- a/src/core/calls.c
+++ b/src/core/calls.c
@@ -37,7 +37,8 @@
     g_free(calls);
 }
 
-uint64_t ow_calls_add(struct ow_calls *calls, ow_call_fn fn, void *owner, void *data, void (*free_data)(void *))
+uint64_t ow_calls_add(struct ow_calls *calls, ow_call_fn fn, void *owner, void *data,
+                      void (*free_data)(void *))
 {
     struct call *call = g_new0(struct call, 1);
     *call = (struct call){++calls->last_tag, fn, owner, data, free_data};
--- a/src/core/care.c
+++ b/src/core/care.c
@@ -15,7 +15,8 @@
     g_info("machine %s: session %" G_GUINT64_FORMAT " has run out unanswered", m->name, m->session);
     m->dead_session = m->session;
     while (m->attempts->len > 0)
-        ow_attempt_end(lead, g_ptr_array_index(m->attempts, 0), OW_CAUSE_NONE, "its machine's lease has run out");
+        ow_attempt_end(lead, g_ptr_array_index(m->attempts, 0), OW_CAUSE_NONE,
+                       "its machine's lease has run out");
 }
 
 static bool overdue(const struct ow_lead *lead, const struct ow_machine *m)
@@ -42,7 +43,8 @@
         ow_rent_delete(lead, m, "it has been silent for too long");
 }
 
-/* Rule 7: what could still run of a cancelled job is ended by returning its machine, if nothing else works. */
+/* Rule 7: what could still run of a cancelled job is ended by returning its machine, if nothing else works.
+ */
 static void pursue_cancelled(struct ow_lead *lead, struct ow_machine *m)
 {
     double now = lead->node->now;
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -11,7 +11,8 @@
 
 #include <string.h>
 
-static const double HELLO_S = 1, TYPES_RETRY_S = 1.5, STATE_BAD_S = 2, STATE_RECENT_S = 12, PEER_WORD_S = 4, BUSY_PAUSE_S = 0.05;
+static const double HELLO_S = 1, TYPES_RETRY_S = 1.5, STATE_BAD_S = 2, STATE_RECENT_S = 12, PEER_WORD_S = 4,
+                    BUSY_PAUSE_S = 0.05;
 enum { QUEUES = OW_COMMAND_SUBMIT + 1, SUBMITS_MOST = 400 };
 
 struct ow_core {
@@ -52,8 +53,8 @@
     (void)answer;
 }
 
-void ow_node_store(struct ow_node *node, struct ow_store_request *request, ow_call_fn fn, void *owner, void *data,
-                   void (*free_data)(void *))
+void ow_node_store(struct ow_node *node, struct ow_store_request *request, ow_call_fn fn, void *owner,
+                   void *data, void (*free_data)(void *))
 {
     request->tag = ow_calls_add(node->calls, fn != NULL ? fn : ignore_answer, owner, data, free_data);
     struct ow_effect *e = ow_effect_new(OW_EFFECT_STORE, request->tag);
@@ -61,8 +62,8 @@
     ow_node_emit(node, e);
 }
 
-void ow_node_cloud(struct ow_node *node, struct ow_cloud_request *request, ow_call_fn fn, void *owner, void *data,
-                   void (*free_data)(void *))
+void ow_node_cloud(struct ow_node *node, struct ow_cloud_request *request, ow_call_fn fn, void *owner,
+                   void *data, void (*free_data)(void *))
 {
     request->tag = ow_calls_add(node->calls, fn, owner, data, free_data);
     struct ow_effect *e = ow_effect_new(OW_EFFECT_CLOUD, request->tag);
@@ -286,8 +287,8 @@
     message->number = ow_election_token(node->election);
     message->leads = message->number > 0;
     /* An open watch says nothing: it hangs in an outage as it does in peace. */
-    message->state_ok = node->state_ok_at > 0 && node->state_bad_since == 0 &&
-                        node->now - node->state_ok_at < STATE_RECENT_S;
+    message->state_ok =
+        node->state_ok_at > 0 && node->state_bad_since == 0 && node->now - node->state_ok_at < STATE_RECENT_S;
     ow_node_tell_peers(node, message);
 }
 
@@ -318,7 +319,8 @@
 static void ask_types(struct ow_core *core)
 {
     struct ow_node *node = &core->node;
-    if (node->types_known || node->lead != NULL || core->types_busy || node->now < node->types_asked_at + TYPES_RETRY_S)
+    if (node->types_known || node->lead != NULL || core->types_busy ||
+        node->now < node->types_asked_at + TYPES_RETRY_S)
         return;
     struct ow_cloud_request *request = g_new0(struct ow_cloud_request, 1);
     request->op = OW_CLOUD_TYPES;
--- a/src/core/door.c
+++ b/src/core/door.c
@@ -100,7 +100,8 @@
     e->status = 200;
     e->teams = g_array_new(FALSE, TRUE, sizeof(struct ow_team_view));
     for (guint i = 0; i < node->settings->teams->len; i++) {
-        struct ow_team_view view = {.name = g_array_index(node->settings->teams, struct ow_team_settings, i).name};
+        struct ow_team_view view = {
+            .name = g_array_index(node->settings->teams, struct ow_team_settings, i).name};
         for (guint k = 0; k < open->len; k++)
             add_job_to_team(&view, g_ptr_array_index(open, k));
         g_array_append_val(e->teams, view);
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -8,8 +8,8 @@
 struct ow_cloud_request {
     enum { OW_CLOUD_TYPES, OW_CLOUD_LIST, OW_CLOUD_RENT, OW_CLOUD_DELETE } op;
     uint64_t tag;
-    char *after;                /* list */
-    char *name, *type, *zone;   /* rent */
+    char *after;              /* list */
+    char *name, *type, *zone; /* rent */
     bool spot;
     unsigned count;
     GPtrArray *machines; /* delete: names */
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -14,8 +14,8 @@
 struct ow_election {
     struct ow_node *node;
     enum stage stage;
-    bool busy;        /* a request of the stage at hand is under way */
-    double act_at;    /* not before */
+    bool busy;     /* a request of the stage at hand is under way */
+    double act_at; /* not before */
     uint64_t lease;
     uint64_t key_version; /* of the key as last read; 0: nobody holds it */
     bool key_known;       /* key_version and leader are from the state service */
@@ -93,8 +93,8 @@
 
 void ow_election_lost(struct ow_election *e, const char *node)
 {
-    if (e->stage != LOOKING || e->busy || !e->key_known || e->key_version == 0 || g_strcmp0(e->leader, node) != 0 ||
-        e->node->now - e->led_since < HINT_AGE_S)
+    if (e->stage != LOOKING || e->busy || !e->key_known || e->key_version == 0 ||
+        g_strcmp0(e->leader, node) != 0 || e->node->now - e->led_since < HINT_AGE_S)
         return;
     /* Safe even if the hint is wrong: the token and the conditions of every write depose the old one. */
     g_info("coordinator %s seems to have ended", node);
@@ -284,7 +284,8 @@
     struct ow_store_request *txn = ow_store_request_new(OW_STORE_TXN, NULL);
     char *nonce = nonce_text(e);
     ow_store_expect(txn, OW_KEY_COORDINATOR, e->key_version);
-    ow_store_write(txn, OW_KEY_COORDINATOR, wire_coordinator_record(e->node->settings->node, nonce), e->lease);
+    ow_store_write(txn, OW_KEY_COORDINATOR, wire_coordinator_record(e->node->settings->node, nonce),
+                   e->lease);
     g_free(nonce);
     e->taken_from = e->key_version;
     e->busy = true;
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -9,9 +9,9 @@
 
 /* A submission with its names as indices. */
 struct ow_spec {
-    struct ow_submission *submission; /* owned */
+    struct ow_submission *submission;   /* owned */
     int class_index, team, image, zone; /* zone OW_NO_NAME: any */
-    uint64_t types; /* a bit for each allowed type */
+    uint64_t types;                     /* a bit for each allowed type */
 };
 
 struct ow_job {
--- a/src/core/lead.c
+++ b/src/core/lead.c
@@ -72,8 +72,8 @@
     message->number = lead->token;
     for (guint i = 0; i < lead->runs->len && i < 1500; i++) {
         const struct ow_run *run = g_ptr_array_index(lead->runs, i);
-        struct ow_peer_job job = {.done = run->job->done, .running = run->job->running,
-                                  .reason = g_strdup(run->job->reason)};
+        struct ow_peer_job job = {
+            .done = run->job->done, .running = run->job->running, .reason = g_strdup(run->job->reason)};
         g_strlcpy(job.id, run->job->id, sizeof job.id);
         g_array_append_val(message->jobs, job);
     }
@@ -88,9 +88,9 @@
         const struct ow_machine *m = g_ptr_array_index(lead->machines, i);
         if (m->addr == NULL || m->type < 0 || m->deleting)
             continue;
-        struct ow_peer_machine hint = {
-            g_strdup(m->name), g_strdup(m->addr), g_strdup(ow_names_text(lead->node->names.types, m->type)),
-            g_strdup(ow_names_text(lead->node->names.zones, m->zone)), m->spot};
+        struct ow_peer_machine hint = {g_strdup(m->name), g_strdup(m->addr),
+                                       g_strdup(ow_names_text(lead->node->names.types, m->type)),
+                                       g_strdup(ow_names_text(lead->node->names.zones, m->zone)), m->spot};
         g_array_append_val(message->machines, hint);
     }
     ow_node_tell_peers(lead->node, message);
--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -26,8 +26,8 @@
     uint64_t session;
     enum ow_attempt_state state;
     enum ow_phase phase;
-    uint64_t in_write; /* serial of the write that carries its record */
-    uint32_t mark;     /* of the last report that lists it */
+    uint64_t in_write;            /* serial of the write that carries its record */
+    uint32_t mark;                /* of the last report that lists it */
     double placed_at, running_at; /* running_at 0: not yet seen running */
     bool stop;
     double stop_grace_s, stop_at;
@@ -57,13 +57,13 @@
     GPtrArray *attempts; /* that may exist */
     struct ow_chunk *chunks;
     uint32_t chunk_count;
-    uint32_t cursor;        /* no pending task below it */
-    bool finishing;         /* its last record is queued or under way */
-    double ready_at;        /* not to be started before */
-    unsigned failures;      /* in a row, on several machines */
-    GHashTable *bad_machines; /* machines where a task of it failed -> nothing */
+    uint32_t cursor;                    /* no pending task below it */
+    bool finishing;                     /* its last record is queued or under way */
+    double ready_at;                    /* not to be started before */
+    unsigned failures;                  /* in a row, on several machines */
+    GHashTable *bad_machines;           /* machines where a task of it failed -> nothing */
     struct ow_reservation *reservation; /* of a waiting gang; owned by reservation.c */
-    double came_at;         /* when this coordinator first saw it */
+    double came_at;                     /* when this coordinator first saw it */
 };
 
 /* ---- machines: book.c ---- */
@@ -86,7 +86,7 @@
     int type, zone; /* OW_NO_NAME: not known yet */
     bool spot;
     enum ow_listed listed;
-    double rented_at, seen_at; /* seen_at: the last message from it, 0: none */
+    double rented_at, seen_at;       /* seen_at: the last message from it, 0: none */
     double reported_at, answered_at; /* its last report to us; our last answer */
     uint64_t session, seq;
     uint64_t dead_session; /* every session up to it is proven over */
@@ -98,18 +98,18 @@
     struct ow_amounts stray; /* by tasks that it reports and we don't know */
     uint32_t mark;
     bool direct_busy, direct_wanted;
-    double direct_at; /* not before */
-    GArray *direct_starts; /* struct ow_floating: launches of the direct order under way */
-    GArray *floating;      /* struct ow_floating: launches of direct orders without an answer */
-    GArray *images;        /* struct ow_image_copy */
-    unsigned errors;       /* jobs that failed on it since the last task that went well */
+    double direct_at;                /* not before */
+    GArray *direct_starts;           /* struct ow_floating: launches of the direct order under way */
+    GArray *floating;                /* struct ow_floating: launches of direct orders without an answer */
+    GArray *images;                  /* struct ow_image_copy */
+    unsigned errors;                 /* jobs that failed on it since the last task that went well */
     const struct ow_job *failed_job; /* the last of them */
     unsigned quarantines;
     double quarantine_until;
     double slowness; /* run time against the estimate's, as seen; 1: as expected */
     double idle_since;
     bool draining, deleting;
-    double delete_at; /* the next try */
+    double delete_at;       /* the next try */
     struct ow_amounts held; /* scratch of the scheduling pass */
 };
 
@@ -126,7 +126,7 @@
     double opened_at; /* the window */
     bool closed;
     double short_since; /* since the window closed without a candidate for each member */
-    bool given_up; /* waited past the limit: the holds are dropped, the place is kept */
+    bool given_up;      /* waited past the limit: the holds are dropped, the place is kept */
     double again_at;
     GArray *holds; /* struct ow_hold */
 };
@@ -165,14 +165,15 @@
     bool listing, listed_once, types_busy;
     char *list_after;
     unsigned rentals;
-    unsigned renting; /* calls under way */
+    unsigned renting;     /* calls under way */
     GHashTable *returned; /* names of machines deleted, which lagging lists still show */
-    GArray *refusals; /* struct ow_rental_refusal */
-    int gpu_rank;     /* the most urgent rank among open jobs that need GPUs */
-    double gpu_cpus;  /* CPUs that a GPU needs to be of use, by the jobs that are open */
+    GArray *refusals;     /* struct ow_rental_refusal */
+    int gpu_rank;         /* the most urgent rank among open jobs that need GPUs */
+    double gpu_cpus;      /* CPUs that a GPU needs to be of use, by the jobs that are open */
 };
 
-static inline const struct ow_machine_type *ow_machine_spec(const struct ow_lead *lead, const struct ow_machine *m)
+static inline const struct ow_machine_type *ow_machine_spec(const struct ow_lead *lead,
+                                                            const struct ow_machine *m)
 {
     return m->type >= 0 && m->type < OW_MAX_TYPES ? lead->node->types[m->type] : NULL;
 }
@@ -201,7 +202,8 @@
 void ow_book_remove(struct ow_lead *lead, struct ow_machine *m, const char *proof);
 /* Whether new tasks may be put on it now. */
 bool ow_book_usable(const struct ow_lead *lead, const struct ow_machine *m);
-bool ow_book_is_floating(const struct ow_machine *m, const struct ow_job *job, uint32_t task, uint64_t number);
+bool ow_book_is_floating(const struct ow_machine *m, const struct ow_job *job, uint32_t task,
+                         uint64_t number);
 struct ow_image_copy *ow_book_image(const struct ow_machine *m, int image);
 void ow_book_image_use(struct ow_lead *lead, struct ow_machine *m, const struct ow_spec *spec, bool present);
 /* Seconds until a task with this image could run there. */
@@ -253,7 +255,8 @@
 /* Zones: how many more tasks the job's own rules admit in this zone, given what may exist. */
 uint32_t ow_place_zone_admits(const struct ow_run *run, int zone);
 void ow_place_array(struct ow_lead *lead, struct ow_run *run);
-void ow_place_task(struct ow_lead *lead, struct ow_run *run, uint32_t task, uint64_t number, struct ow_machine *m);
+void ow_place_task(struct ow_lead *lead, struct ow_run *run, uint32_t task, uint64_t number,
+                   struct ow_machine *m);
 uint32_t ow_place_next_pending(struct ow_run *run);
 
 /* reservation.c */
@@ -266,7 +269,8 @@
 /* Slots for the job on a machine if all work that may be stopped for it went. */
 uint32_t ow_preempt_slots(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m);
 /* Stops the cheapest work there that makes room for `slots` tasks; false if none can. */
-bool ow_preempt_make_room(struct ow_lead *lead, const struct ow_run *run, struct ow_machine *m, uint32_t slots);
+bool ow_preempt_make_room(struct ow_lead *lead, const struct ow_run *run, struct ow_machine *m,
+                          uint32_t slots);
 double ow_preempt_loss(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m,
                        uint32_t slots);
 
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -29,8 +29,8 @@
     struct ow_replica *replica;
     struct ow_door *door;
     struct ow_election *election;
-    struct ow_lead *lead; /* NULL while another controller coordinates */
-    double state_ok_at;   /* the last answer of the state service that was no failure */
+    struct ow_lead *lead;   /* NULL while another controller coordinates */
+    double state_ok_at;     /* the last answer of the state service that was no failure */
     double state_bad_since; /* 0: the last answer was good */
     GHashTable *peers_ok;   /* peer name -> double *: when it last said that its state service answers */
     GArray *machine_hints;  /* struct ow_peer_machine, from the coordinator's last message */
@@ -40,10 +40,10 @@
 void ow_node_emit(struct ow_node *node, struct ow_effect *effect);
 struct ow_effect *ow_effect_new(enum ow_effect_kind kind, uint64_t request);
 void ow_node_refuse(struct ow_node *node, uint64_t request, int status, const char *text, int retry_after_s);
-void ow_node_store(struct ow_node *node, struct ow_store_request *request, ow_call_fn fn, void *owner, void *data,
-                   void (*free_data)(void *));
-void ow_node_cloud(struct ow_node *node, struct ow_cloud_request *request, ow_call_fn fn, void *owner, void *data,
-                   void (*free_data)(void *));
+void ow_node_store(struct ow_node *node, struct ow_store_request *request, ow_call_fn fn, void *owner,
+                   void *data, void (*free_data)(void *));
+void ow_node_cloud(struct ow_node *node, struct ow_cloud_request *request, ow_call_fn fn, void *owner,
+                   void *data, void (*free_data)(void *));
 void ow_node_tell_peers(struct ow_node *node, struct ow_peer_message *message);
 /* Tells the coordinator, here or elsewhere, that a job's record has changed. */
 void ow_node_nudge(struct ow_node *node, uint64_t revision);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -55,8 +55,8 @@
 
 /* Whether a more urgent class of gangs needs the better part of such a machine for a single task: what is
    put there is likely to be stopped for it. */
-static bool sought_by_gangs(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m,
-                            const struct ow_machine_type *type)
+static bool sought_by_gangs(const struct ow_lead *lead, const struct ow_spec *spec,
+                            const struct ow_machine *m, const struct ow_machine_type *type)
 {
     for (guint i = 0; i < lead->node->classes->len; i++) {
         const struct ow_class *c = &g_array_index(lead->node->classes, struct ow_class, i);
@@ -76,7 +76,8 @@
     double cost = ow_book_fetch_s(lead, m, spec);
     cost += spec->submission->estimate_s * MAX(0, m->slowness - SLOW);
     /* Less urgent work gets only what GPUs leave over, which is nobody else's loss. */
-    if (type->size.gpus > 0 && spec->submission->need.gpus <= 0 && (int)spec->submission->rank < lead->gpu_rank)
+    if (type->size.gpus > 0 && spec->submission->need.gpus <= 0 &&
+        (int)spec->submission->rank < lead->gpu_rank)
         cost += GPU_WASTE_S;
     if (sought_by_gangs(lead, spec, m, type))
         cost += SOUGHT_S;
@@ -160,7 +161,8 @@
     return run->cursor;
 }
 
-void ow_place_task(struct ow_lead *lead, struct ow_run *run, uint32_t task, uint64_t number, struct ow_machine *m)
+void ow_place_task(struct ow_lead *lead, struct ow_run *run, uint32_t task, uint64_t number,
+                   struct ow_machine *m)
 {
     struct ow_chunk *chunk = &run->chunks[task / OW_CHUNK_TASKS];
     chunk->last_attempt = MAX(chunk->last_attempt, number);
@@ -210,14 +212,16 @@
     double slots = 0;
     for (guint i = 0; i < lead->machines->len; i++) {
         const struct ow_machine *m = g_ptr_array_index(lead->machines, i);
-        if (ow_book_usable(lead, m) && ow_place_allowed(lead, spec, m) && ow_book_image(m, spec->image) != NULL)
+        if (ow_book_usable(lead, m) && ow_place_allowed(lead, spec, m) &&
+            ow_book_image(m, spec->image) != NULL)
             slots += ow_place_whole(ow_machine_spec(lead, m), &spec->submission->need);
     }
     return slots;
 }
 
 /* Whether other work waits that the machine could start at once with the images it has. */
-static bool has_work_for_its_images(const struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m)
+static bool has_work_for_its_images(const struct ow_lead *lead, const struct ow_run *run,
+                                    const struct ow_machine *m)
 {
     for (guint i = 0; i < lead->runs->len; i++) {
         const struct ow_run *other = g_ptr_array_index(lead->runs, i);
@@ -232,7 +236,8 @@
 
 /* A machine without the image is left alone while those that have it get through the work sooner than it
    could fetch the image, as long as the aims of the class leave the time. */
-static bool better_to_wait(struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m, double wait_s)
+static bool better_to_wait(struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m,
+                           double wait_s)
 {
     double fetch_s = ow_book_fetch_s(lead, m, run->job->spec);
     double waits = lead->node->now - run->came_at + wait_s;
--- a/src/core/preempt.c
+++ b/src/core/preempt.c
@@ -23,8 +23,8 @@
 }
 
 /* A slice of free room as it would be with some attempts gone. */
-static uint32_t slots_without(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m,
-                              const struct ow_amounts *gone)
+static uint32_t slots_without(const struct ow_lead *lead, const struct ow_spec *spec,
+                              const struct ow_machine *m, const struct ow_amounts *gone)
 {
     struct ow_machine then = *m;
     ow_amounts_add(&then.used, gone, -1);
@@ -59,8 +59,8 @@
 }
 
 /* The victims that make room, or NULL if none do. Work already being stopped comes first and is free. */
-static GArray *choose_victims(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m,
-                              uint32_t slots)
+static GArray *choose_victims(const struct ow_lead *lead, const struct ow_spec *spec,
+                              const struct ow_machine *m, uint32_t slots)
 {
     GArray *all = g_array_new(FALSE, FALSE, sizeof(struct victim));
     struct ow_amounts gone = {0};
@@ -97,7 +97,8 @@
     return loss;
 }
 
-bool ow_preempt_make_room(struct ow_lead *lead, const struct ow_run *run, struct ow_machine *m, uint32_t slots)
+bool ow_preempt_make_room(struct ow_lead *lead, const struct ow_run *run, struct ow_machine *m,
+                          uint32_t slots)
 {
     GArray *victims = choose_victims(lead, run->job->spec, m, slots);
     if (victims == NULL)
--- a/src/core/reason.c
+++ b/src/core/reason.c
@@ -32,10 +32,11 @@
     if (usable == 0)
         return g_strdup_printf("none of the %u machines that it allows can take tasks now", allowed);
     if (gang)
-        return g_strdup_printf("short of room for all %u tasks at once; holds room for %u and keeps its place",
-                               run->count, run->reservation != NULL ? MIN(run->reservation->holds->len, run->count) : 0);
-    return g_strdup_printf("%u tasks wait for room on %u machines, behind earlier or more urgent work", pending,
-                           usable);
+        return g_strdup_printf(
+            "short of room for all %u tasks at once; holds room for %u and keeps its place", run->count,
+            run->reservation != NULL ? MIN(run->reservation->holds->len, run->count) : 0);
+    return g_strdup_printf("%u tasks wait for room on %u machines, behind earlier or more urgent work",
+                           pending, usable);
 }
 
 void ow_reason_waits(struct ow_lead *lead, struct ow_run *run)
--- a/src/core/recorder.c
+++ b/src/core/recorder.c
@@ -292,7 +292,8 @@
     if (!ow_job_over(job))
         g_info("job %s done", job->id);
     ow_run_drop(lead, w->run);
-    ow_jobs_apply(lead->node->jobs, job->id, revision, job->stance == OW_CANCELLED ? OW_CANCELLED : OW_DONE, NULL);
+    ow_jobs_apply(lead->node->jobs, job->id, revision, job->stance == OW_CANCELLED ? OW_CANCELLED : OW_DONE,
+                  NULL);
 }
 
 static void committed(struct ow_lead *lead, uint64_t revision)
@@ -320,7 +321,8 @@
     int status = answer->store.status;
     if (status != 200 && status != 404) {
         /* Nothing is written before the versions are known again. */
-        ow_node_store(lead->node, ow_store_request_new(OW_STORE_GET, key), on_version, lead, g_strdup(key), g_free);
+        ow_node_store(lead->node, ow_store_request_new(OW_STORE_GET, key), on_version, lead, g_strdup(key),
+                      g_free);
         return;
     }
     lead->recorder->checking--;
@@ -361,7 +363,8 @@
         *token = lead->token;
         ow_replica_refresh(lead->node->replica, on_job_fresh, token);
     } else {
-        ow_node_store(lead->node, ow_store_request_new(OW_STORE_GET, key), on_version, lead, g_strdup(key), g_free);
+        ow_node_store(lead->node, ow_store_request_new(OW_STORE_GET, key), on_version, lead, g_strdup(key),
+                      g_free);
     }
 }
 
--- a/src/core/records.h
+++ b/src/core/records.h
@@ -16,7 +16,7 @@
 #define OW_KEY_PROGRESS "p/"
 
 struct ow_job_record {
-    enum ow_stance stance; /* queued stands for every job that is not over */
+    enum ow_stance stance;            /* queued stands for every job that is not over */
     struct ow_submission *submission; /* NULL once over and no task of it may be left */
 };
 
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -33,7 +33,8 @@
 static void forget_refusal(struct ow_lead *lead, const struct ow_machine *m)
 {
     for (guint i = lead->refusals->len; i > 0; i--)
-        if (is_kind(&g_array_index(lead->refusals, struct ow_rental_refusal, i - 1), m->type, m->zone, m->spot))
+        if (is_kind(&g_array_index(lead->refusals, struct ow_rental_refusal, i - 1), m->type, m->zone,
+                    m->spot))
             g_array_remove_index_fast(lead->refusals, i - 1);
 }
 
@@ -184,7 +185,8 @@
     return list_;
 }
 
-static uint32_t take_room(const struct ow_lead *lead, const struct ow_spec *spec, struct coming *c, uint32_t wanted)
+static uint32_t take_room(const struct ow_lead *lead, const struct ow_spec *spec, struct coming *c,
+                          uint32_t wanted)
 {
     if (!ow_place_allowed(lead, spec, &c->machine))
         return 0;
@@ -210,7 +212,8 @@
 }
 
 /* The cheapest kind of machine for the job that has not been refused lately. */
-static bool best_kind(const struct ow_lead *lead, const struct ow_spec *spec, double waits, bool proper, struct coming *out)
+static bool best_kind(const struct ow_lead *lead, const struct ow_spec *spec, double waits, bool proper,
+                      struct coming *out)
 {
     double best = INFINITY;
     for (int type = 0; type < OW_MAX_TYPES; type++) {
@@ -386,7 +389,8 @@
 }
 
 /* `plan` may be NULL: machines that are up alone. */
-static uint32_t slots_there(const struct ow_lead *lead, const struct ow_class *c, bool proper, const GArray *plan)
+static uint32_t slots_there(const struct ow_lead *lead, const struct ow_class *c, bool proper,
+                            const GArray *plan)
 {
     uint32_t slots = 0;
     for (guint i = 0; i < lead->machines->len; i++) {
--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -8,7 +8,8 @@
 #include <string.h>
 
 /* How long a watch may stay open, and the least time between two reads of one kind. */
-static const double WATCH_S = 10, WATCH_GAP_LEAD_S = 0.1, WATCH_GAP_S = 1.0, FRESH_GAP_S = 0.05, RETRY_S = 0.5;
+static const double WATCH_S = 10, WATCH_GAP_LEAD_S = 0.1, WATCH_GAP_S = 1.0, FRESH_GAP_S = 0.05,
+                    RETRY_S = 0.5;
 
 struct waiter {
     ow_fresh_fn fn;
@@ -19,8 +20,8 @@
     struct ow_node *node;
     bool loaded, loading, watching, reading;
     uint64_t revision;
-    char *list_after;        /* the last key of the pages read so far */
-    uint64_t list_revision;  /* of the first page: changes since then are watched for */
+    char *list_after;                   /* the last key of the pages read so far */
+    uint64_t list_revision;             /* of the first page: changes since then are watched for */
     double load_at, watch_at, fresh_at; /* not before */
     bool hinted;
     GArray *waiting; /* struct waiter: for the next read */
@@ -151,7 +152,8 @@
         r->list_revision = reply->revision;
     apply_items(r, reply->items);
     if (reply->more && reply->items->len > 0) {
-        const struct ow_store_item *last = &g_array_index(reply->items, struct ow_store_item, reply->items->len - 1);
+        const struct ow_store_item *last =
+            &g_array_index(reply->items, struct ow_store_item, reply->items->len - 1);
         g_free(r->list_after);
         r->list_after = g_strdup(last->key);
         return;
--- a/src/core/reports.c
+++ b/src/core/reports.c
@@ -3,12 +3,14 @@
 
 #include <string.h>
 
-static struct ow_attempt *find_attempt(struct ow_machine *m, const struct ow_job *job, const struct ow_task_report *t)
+static struct ow_attempt *find_attempt(struct ow_machine *m, const struct ow_job *job,
+                                       const struct ow_task_report *t)
 {
     if (job == NULL || job->run == NULL || t->task >= job->run->count)
         return NULL;
     struct ow_attempt *at = job->run->tasks[t->task].attempt;
-    return at != NULL && at->machine == m && at->number == t->attempt && at->session == m->session ? at : NULL;
+    return at != NULL && at->machine == m && at->number == t->attempt && at->session == m->session ? at
+                                                                                                   : NULL;
 }
 
 static void order(GArray *orders, enum ow_op op, const struct ow_task_report *t)
@@ -61,11 +63,13 @@
     }
     const struct ow_spec *spec = job != NULL ? job->spec : NULL;
     const struct ow_machine_type *type = ow_machine_spec(lead, m);
-    const struct ow_amounts *need = spec != NULL ? &spec->submission->need : type != NULL ? &type->size : NULL;
+    const struct ow_amounts *need = spec != NULL   ? &spec->submission->need
+                                    : type != NULL ? &type->size
+                                                   : NULL;
     if (need != NULL)
         ow_amounts_add(&m->stray, need, 1);
-    g_info("task %s/%u attempt %" G_GUINT64_FORMAT " on %s is unaccounted for and is stopped", t->job, t->task,
-           t->attempt, m->name);
+    g_info("task %s/%u attempt %" G_GUINT64_FORMAT " on %s is unaccounted for and is stopped", t->job,
+           t->task, t->attempt, m->name);
     order(orders, OW_STOP, t);
 }
 
@@ -81,7 +85,8 @@
     ow_book_image_use(lead, at->machine, at->job->spec, phase != OW_FETCHING);
 }
 
-static void take_task(struct ow_lead *lead, struct ow_machine *m, const struct ow_task_report *t, GArray *orders)
+static void take_task(struct ow_lead *lead, struct ow_machine *m, const struct ow_task_report *t,
+                      GArray *orders)
 {
     struct ow_job *job = ow_jobs_find(lead->node->jobs, t->job);
     struct ow_attempt *at = find_attempt(m, job, t);
@@ -97,7 +102,8 @@
     if (t->cause == OW_CAUSE_DONE)
         ow_book_image_use(lead, m, job->spec, true);
     else
-        g_info("task %s/%u on %s ended: cause %d%s", t->job, t->task, m->name, t->cause, t->saved ? ", saved" : "");
+        g_info("task %s/%u on %s ended: cause %d%s", t->job, t->task, m->name, t->cause,
+               t->saved ? ", saved" : "");
     ow_attempt_end(lead, at, t->cause, "reported as ended");
     clear_ended(m, job, t, orders);
 }
--- a/src/core/reservation.c
+++ b/src/core/reservation.c
@@ -50,7 +50,8 @@
 }
 
 /* Picks machines for as many members as the rooms have, in their order; returns how many are left. */
-static uint32_t pick_members(const struct ow_run *run, const GArray *rooms, int only, GArray *picks, double *cost)
+static uint32_t pick_members(const struct ow_run *run, const GArray *rooms, int only, GArray *picks,
+                             double *cost)
 {
     uint32_t left = run->count;
     *cost = 0;
@@ -74,7 +75,8 @@
     double best_cost = INFINITY;
     bool one_zone = run->job->spec->submission->one_zone;
     for (guint i = 0; i < MAX(rooms->len, 1); i++) {
-        int only = one_zone && rooms->len > 0 ? g_array_index(rooms, struct ow_room, i).machine->zone : OW_NO_NAME;
+        int only =
+            one_zone && rooms->len > 0 ? g_array_index(rooms, struct ow_room, i).machine->zone : OW_NO_NAME;
         GArray *picks = g_array_new(FALSE, FALSE, sizeof(struct pick));
         double cost = 0;
         uint32_t left = pick_members(run, rooms, only, picks, &cost);
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -153,8 +153,8 @@
     struct ow_run *run = at->job->run;
     uint32_t task = at->task;
     struct ow_machine *m = at->machine;
-    g_debug("task %s/%u attempt %" G_GUINT64_FORMAT " on %s is gone: %s", at->job->id, task, at->number, m->name,
-            proof);
+    g_debug("task %s/%u attempt %" G_GUINT64_FORMAT " on %s is gone: %s", at->job->id, task, at->number,
+            m->name, proof);
     bool stopped = at->stop;
     if (cause == OW_CAUSE_DONE && at->running_at > 0)
         learn_speed(lead, at);
@@ -182,8 +182,8 @@
     if (at->stop && at->stop_grace_s <= grace_s)
         return;
     if (!at->stop)
-        g_info("task %s/%u on %s is stopped, grace %.1f s: %s", at->job->id, at->task, at->machine->name, grace_s,
-               why);
+        g_info("task %s/%u on %s is stopped, grace %.1f s: %s", at->job->id, at->task, at->machine->name,
+               grace_s, why);
     at->stop = true;
     at->stop_grace_s = grace_s;
     at->stop_at = lead->node->now;
--- a/src/core/takeover.c
+++ b/src/core/takeover.c
@@ -28,7 +28,8 @@
     struct ow_job *job = parts[0] != NULL ? ow_jobs_find(lead->node->jobs, parts[0]) : NULL;
     struct ow_progress_record record;
     guint64 index = 0;
-    bool ok = parts[0] != NULL && parts[1] != NULL && g_ascii_string_to_unsigned(parts[1], 10, 0, OW_MAX_TASKS, &index, NULL);
+    bool ok = parts[0] != NULL && parts[1] != NULL &&
+              g_ascii_string_to_unsigned(parts[1], 10, 0, OW_MAX_TASKS, &index, NULL);
     g_strfreev(parts);
     if (!ok || job == NULL || job->spec == NULL) {
         /* What a final record has left behind. */
--- a/src/io/client.c
+++ b/src/io/client.c
@@ -37,7 +37,8 @@
     return 0.1;
 }
 
-static int request(const char *server, const char *method, const char *path, const char *body, GString *answer)
+static int request(const char *server, const char *method, const char *path, const char *body,
+                   GString *answer)
 {
     struct exchange x = {.body = answer};
     struct ow_loop *loop = ow_loop_new();
@@ -87,7 +88,8 @@
         wj_string(team, W_TEAM, &name);
         wj_count(team, "jobs", &jobs);
         wj_count(team, "waiting_jobs", &waiting);
-        printf("%s: %" G_GUINT64_FORMAT " jobs, %" G_GUINT64_FORMAT " with waiting tasks", name, jobs, waiting);
+        printf("%s: %" G_GUINT64_FORMAT " jobs, %" G_GUINT64_FORMAT " with waiting tasks", name, jobs,
+               waiting);
         print_amounts(team, "running");
         print_amounts(team, "waiting");
         printf("\n");
--- a/src/io/http_parse.c
+++ b/src/io/http_parse.c
@@ -148,9 +148,11 @@
 static enum ow_http_result end_of_head(struct ow_http_parser *p)
 {
     if (p->side == OW_HTTP_RESPONSE && p->status < 200) {
+        /* Nobody asked for another protocol. */
+        bool switched = p->status == 101;
         p->phase = START;
         p->status = 0;
-        return p->status == 101 ? OW_HTTP_MALFORMED : OW_HTTP_MORE;
+        return switched ? OW_HTTP_MALFORMED : OW_HTTP_MORE;
     }
     if (p->chunked) {
         p->phase = CHUNK_SIZE;
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -76,12 +76,13 @@
     g_free(c);
 }
 
-static void append_answer(struct connection *c, int status, const char *headers, const char *body, size_t size)
+static void append_answer(struct connection *c, int status, const char *headers, const char *body,
+                          size_t size)
 {
-    g_string_append_printf(c->out,
-                           "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n%s%s\r\n",
-                           status, reason_phrase(status), size, headers != NULL ? headers : "",
-                           c->closing ? "Connection: close\r\n" : "");
+    g_string_append_printf(
+        c->out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n%s%s\r\n", status,
+        reason_phrase(status), size, headers != NULL ? headers : "",
+        c->closing ? "Connection: close\r\n" : "");
     g_string_append_len(c->out, body, (gssize)size);
 }
 
--- a/src/io/log.c
+++ b/src/io/log.c
@@ -5,7 +5,8 @@
 #include <unistd.h>
 
 /* The one global: GLib's writer has no room for an owner. */
-static GLogLevelFlags shown = G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_WARNING | G_LOG_LEVEL_MESSAGE;
+static GLogLevelFlags shown =
+    G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_WARNING | G_LOG_LEVEL_MESSAGE;
 
 static const char *level_word(GLogLevelFlags level)
 {
--- a/src/io/peer_link.h
+++ b/src/io/peer_link.h
@@ -10,7 +10,8 @@
 /* Takes over the message. */
 typedef void (*ow_peer_fn)(void *owner, struct ow_peer_message *message);
 
-/* A link that stood is gone and nobody listens there any more: a hint that the process has ended, no proof. */
+/* A link that stood is gone and nobody listens there any more: a hint that the process has ended, no proof.
+ */
 typedef void (*ow_peer_lost_fn)(void *owner, const char *endpoint);
 
 struct ow_peer_links *ow_peer_links_new(struct ow_loop *loop, const char *listen_endpoint, ow_peer_fn take,
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -13,7 +13,8 @@
 
 #include <string.h>
 
-static const double STATE_TIMEOUT_S = 1.5, CLOUD_TIMEOUT_S = 8, DIRECT_TIMEOUT_S = 3, SWEEP_S = 0.1, IDLE_S = 60;
+static const double STATE_TIMEOUT_S = 1.5, CLOUD_TIMEOUT_S = 8, DIRECT_TIMEOUT_S = 3, SWEEP_S = 0.1,
+                    IDLE_S = 60;
 enum { BODY_LIMIT = 64 * 1024, SPARE_SOCKETS = 160 };
 
 /* What a request to the outside was, until its answer comes. */
@@ -310,7 +311,8 @@
     s->client = ow_http_client_new(loop, take_answer, s);
     s->core = ow_core_new(settings, rules, ow_rng_nonce());
     if (s->server == NULL || s->peers == NULL) {
-        *fault = g_strdup_printf("cannot listen on %s", s->server == NULL ? settings->front : settings->peer_listen);
+        *fault = g_strdup_printf("cannot listen on %s",
+                                 s->server == NULL ? settings->front : settings->peer_listen);
         ow_service_free(s);
         return NULL;
     }
--- a/src/wire/cloud_json.c
+++ b/src/wire/cloud_json.c
@@ -57,10 +57,11 @@
         json_t *zones = json_array();
         for (char **zone = t->zones; zone != NULL && *zone != NULL; zone++)
             json_array_append_new(zones, json_string(*zone));
-        json_array_append_new(list, json_pack("{s:s,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:o}", W_NAME, t->name, W_CPUS,
-                                              t->size.cpus, W_GPUS, t->size.gpus, W_MEMORY, t->size.memory_gb,
-                                              W_CACHE, t->cache_gb, W_FETCH, t->fetch_gb_per_s, W_PRICE, t->price,
-                                              W_SPOT_PRICE, t->spot_price, W_BOOT, t->boot_s, W_ZONES, zones));
+        json_array_append_new(list,
+                              json_pack("{s:s,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:o}", W_NAME, t->name, W_CPUS,
+                                        t->size.cpus, W_GPUS, t->size.gpus, W_MEMORY, t->size.memory_gb,
+                                        W_CACHE, t->cache_gb, W_FETCH, t->fetch_gb_per_s, W_PRICE, t->price,
+                                        W_SPOT_PRICE, t->spot_price, W_BOOT, t->boot_s, W_ZONES, zones));
     }
     return json_pack("{s:o}", W_TYPES, list);
 }
--- a/src/wire/peer_xdr.c
+++ b/src/wire/peer_xdr.c
@@ -24,7 +24,8 @@
     for (guint i = 0; i < count; i++) {
         struct ow_peer_job *job = &g_array_index(m->jobs, struct ow_peer_job, i);
         static char none[] = "";
-        s->jobs.jobs_val[i] = (peer_job){job->id, job->done, job->running, job->reason != NULL ? job->reason : none};
+        s->jobs.jobs_val[i] =
+            (peer_job){job->id, job->done, job->running, job->reason != NULL ? job->reason : none};
     }
 }
 
@@ -88,8 +89,8 @@
     m->number = p->token;
     for (u_int i = 0; i < p->machines.machines_len; i++) {
         const peer_machine *x = &p->machines.machines_val[i];
-        struct ow_peer_machine h = {g_strdup(x->name), g_strdup(x->addr), g_strdup(x->type), g_strdup(x->zone),
-                                    x->spot};
+        struct ow_peer_machine h = {g_strdup(x->name), g_strdup(x->addr), g_strdup(x->type),
+                                    g_strdup(x->zone), x->spot};
         g_array_append_val(m->machines, h);
     }
 }
--- a/src/wire/records_json.c
+++ b/src/wire/records_json.c
@@ -111,7 +111,8 @@
         g_free(place);
     }
     char *done = done_text(record->done);
-    json_t *o = json_pack("{s:I,s:s,s:o}", F_LAST, (json_int_t)record->last_attempt, F_DONE, done, F_LIVE, live);
+    json_t *o =
+        json_pack("{s:I,s:s,s:o}", F_LAST, (json_int_t)record->last_attempt, F_DONE, done, F_LIVE, live);
     g_free(done);
     return take_text(o);
 }
--- a/src/wire/state_json.c
+++ b/src/wire/state_json.c
@@ -19,7 +19,8 @@
     json_t *conditions = json_array(), *changes = json_array();
     for (guint i = 0; i < r->conditions->len; i++) {
         const struct ow_condition *c = &g_array_index(r->conditions, struct ow_condition, i);
-        json_array_append_new(conditions, json_pack("{s:s,s:I}", W_KEY, c->key, W_VERSION, (json_int_t)c->version));
+        json_array_append_new(conditions,
+                              json_pack("{s:s,s:I}", W_KEY, c->key, W_VERSION, (json_int_t)c->version));
     }
     for (guint i = 0; i < r->changes->len; i++) {
         const struct ow_change *c = &g_array_index(r->changes, struct ow_change, i);
@@ -122,8 +123,8 @@
         return false;
     size_t i;
     json_t *entry;
-    json_array_foreach(list, i, entry) if (!(events ? add_event(items, entry) : add_item(items, entry, W_KEY)))
-        return false;
+    json_array_foreach(
+        list, i, entry) if (!(events ? add_event(items, entry) : add_item(items, entry, W_KEY))) return false;
     return true;
 }
 
--- a/src/wire/user_json.c
+++ b/src/wire/user_json.c
@@ -171,8 +171,8 @@
         for (char **name = s->types; *name != NULL; name++)
             json_array_append_new(types, json_string(*name));
     }
-    return json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:f,s:f,s:f,s:s,s:f,s:o,s:s?,s:b,s:b,s:b,s:f,s:f,s:f,s:f}", W_ID,
-                     s->id, W_CLASS, s->class_name, W_TEAM, s->team, W_KIND, w_kinds[s->kind], W_RANK,
+    return json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:f,s:f,s:f,s:s,s:f,s:o,s:s?,s:b,s:b,s:b,s:f,s:f,s:f,s:f}",
+                     W_ID, s->id, W_CLASS, s->class_name, W_TEAM, s->team, W_KIND, w_kinds[s->kind], W_RANK,
                      w_ranks[s->rank], W_TASKS, (json_int_t)s->tasks, W_CPUS, s->need.cpus, W_GPUS,
                      s->need.gpus, W_MEMORY, s->need.memory_gb, W_IMAGE, s->image, W_IMAGE_GB, s->image_gb,
                      W_TYPES, types, W_ZONE, s->zone, W_ONE_ZONE, (int)s->one_zone, W_SPREAD, (int)s->spread,
@@ -204,9 +204,10 @@
     json_t *list = json_array();
     for (guint i = 0; i < teams->len; i++) {
         const struct ow_team_view *t = &g_array_index(teams, struct ow_team_view, i);
-        json_array_append_new(list, json_pack("{s:s,s:i,s:i,s:o,s:o}", W_TEAM, t->name, "jobs", (int)t->jobs,
-                                              "waiting_jobs", (int)t->waiting_jobs, "running",
-                                              amounts_json(&t->running), "waiting", amounts_json(&t->waiting)));
+        json_array_append_new(list,
+                              json_pack("{s:s,s:i,s:i,s:o,s:o}", W_TEAM, t->name, "jobs", (int)t->jobs,
+                                        "waiting_jobs", (int)t->waiting_jobs, "running",
+                                        amounts_json(&t->running), "waiting", amounts_json(&t->waiting)));
     }
     json_t *o = json_pack("{s:o}", "teams", list);
     char *text = wj_text(o);
--- a/src/wire/worker_json.c
+++ b/src/wire/worker_json.c
@@ -14,7 +14,8 @@
     memcpy(out->job, text, (size_t)(slash - text));
     out->job[slash - text] = '\0';
     guint64 task = 0;
-    if (!wire_job_id_valid(out->job) || !g_ascii_string_to_unsigned(slash + 1, 10, 0, OW_MAX_TASKS, &task, NULL))
+    if (!wire_job_id_valid(out->job) ||
+        !g_ascii_string_to_unsigned(slash + 1, 10, 0, OW_MAX_TASKS, &task, NULL))
         return false;
     out->task = (uint32_t)task;
     return true;
@@ -66,9 +67,9 @@
     const char *machine = NULL, *addr = NULL, *type = NULL, *zone = NULL;
     r->tasks = g_array_new(FALSE, FALSE, sizeof(struct ow_task_report));
     r->notice_s = -1;
-    bool ok = wj_string(o, W_MACHINE, &machine) && wj_string(o, W_ADDR, &addr) && wj_string(o, W_TYPE, &type) &&
-              wj_string(o, W_ZONE, &zone) && wj_count(o, W_SESSION, &r->session) &&
-              wj_count(o, W_SEQ, &r->seq) && parse_tasks(o, r->tasks);
+    bool ok = wj_string(o, W_MACHINE, &machine) && wj_string(o, W_ADDR, &addr) &&
+              wj_string(o, W_TYPE, &type) && wj_string(o, W_ZONE, &zone) &&
+              wj_count(o, W_SESSION, &r->session) && wj_count(o, W_SEQ, &r->seq) && parse_tasks(o, r->tasks);
     if (ok) {
         wj_bool(o, W_SPOT, &r->spot);
         wj_count(o, W_TOKEN, &r->token);
--- a/tests/test_chaos.c
+++ b/tests/test_chaos.c
@@ -1,4 +1,5 @@
-/* Random troubles on top of each other, from fixed seeds: no rule may break, and in the end all work is done. */
+/* Random troubles on top of each other, from fixed seeds: no rule may break, and in the end all work is done.
+ */
 #include "check.h"
 #include "world.h"
 
@@ -15,7 +16,8 @@
 
 static struct world_machine *any_machine(struct trouble *t)
 {
-    return g_ptr_array_index(t->w->machines, (guint)g_rand_int_range(t->rand, 0, (gint32)t->w->machines->len));
+    return g_ptr_array_index(t->w->machines,
+                             (guint)g_rand_int_range(t->rand, 0, (gint32)t->w->machines->len));
 }
 
 static void strike_machine(struct trouble *t)
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -192,7 +192,8 @@
     world_add_machine(w, "m-0", "big", "east", false);
     world_run(w, 6);
     w->run_s = 300;
-    struct ow_submission *low = world_job("run-1", 16, 1), *peer = gang("run-2", 1, 12), *urgent = gang("run-3", 1, 12);
+    struct ow_submission *low = world_job("run-1", 16, 1), *peer = gang("run-2", 1, 12),
+                         *urgent = gang("run-3", 1, 12);
     low->rank = OW_RANK_LOW;
     peer->rank = OW_RANK_LOW;
     urgent->rank = OW_RANK_URGENT;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -15,18 +15,25 @@
     {OW_HTTP_REQUEST, "GET /up HTTP/1.1\r\n\r\n", OW_HTTP_DONE, ""},
     {OW_HTTP_REQUEST, "\r\nGET /up HTTP/1.1\nHost: x\n\n", OW_HTTP_DONE, ""},
     {OW_HTTP_REQUEST, "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", OW_HTTP_DONE, "abc"},
-    {OW_HTTP_REQUEST, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\n\r\n",
-     OW_HTTP_DONE, "abc"},
-    {OW_HTTP_REQUEST, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nTrailer: t\r\n\r\n", OW_HTTP_DONE, ""},
+    {OW_HTTP_REQUEST,
+     "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\n\r\n", OW_HTTP_DONE,
+     "abc"},
+    {OW_HTTP_REQUEST, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nTrailer: t\r\n\r\n",
+     OW_HTTP_DONE, ""},
     {OW_HTTP_REQUEST, "POST /a HTTP/1.1\r\nContent-Length: 101\r\n\r\n", OW_HTTP_TOO_LARGE, NULL},
-    {OW_HTTP_REQUEST, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffff\r\n", OW_HTTP_TOO_LARGE, NULL},
-    {OW_HTTP_REQUEST, "POST /a HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", OW_HTTP_MALFORMED, NULL},
+    {OW_HTTP_REQUEST, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffff\r\n", OW_HTTP_TOO_LARGE,
+     NULL},
+    {OW_HTTP_REQUEST, "POST /a HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", OW_HTTP_MALFORMED,
+     NULL},
     {OW_HTTP_REQUEST, "POST /a HTTP/1.1\r\nContent-Length: -1\r\n\r\n", OW_HTTP_MALFORMED, NULL},
-    {OW_HTTP_REQUEST, "POST /a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n", OW_HTTP_MALFORMED, NULL},
-    {OW_HTTP_REQUEST, "POST /a HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", OW_HTTP_MALFORMED,
+    {OW_HTTP_REQUEST, "POST /a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n", OW_HTTP_MALFORMED,
+     NULL},
+    {OW_HTTP_REQUEST, "POST /a HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+     OW_HTTP_MALFORMED, NULL},
+    {OW_HTTP_REQUEST, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", OW_HTTP_MALFORMED,
+     NULL},
+    {OW_HTTP_REQUEST, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", OW_HTTP_MALFORMED,
      NULL},
-    {OW_HTTP_REQUEST, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", OW_HTTP_MALFORMED, NULL},
-    {OW_HTTP_REQUEST, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", OW_HTTP_MALFORMED, NULL},
     {OW_HTTP_REQUEST, "GET /up HTTP/2.0\r\n\r\n", OW_HTTP_MALFORMED, NULL},
     {OW_HTTP_REQUEST, "GET  /up HTTP/1.1\r\n\r\n", OW_HTTP_MALFORMED, NULL},
     {OW_HTTP_REQUEST, "GET up HTTP/1.1\r\n\r\n", OW_HTTP_MALFORMED, NULL},
@@ -37,6 +44,7 @@
     {OW_HTTP_REQUEST, "GET /up HTTP/1.1\r\nHost", OW_HTTP_MORE, NULL},
     {OW_HTTP_RESPONSE, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", OW_HTTP_DONE, "{}"},
     {OW_HTTP_RESPONSE, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204\r\n\r\n", OW_HTTP_DONE, ""},
+    {OW_HTTP_RESPONSE, "HTTP/1.1 101 Switching\r\n\r\n", OW_HTTP_MALFORMED, NULL},
     {OW_HTTP_RESPONSE, "HTTP/1.1 2x0 OK\r\n\r\n", OW_HTTP_MALFORMED, NULL},
     {OW_HTTP_RESPONSE, "nonsense\r\n", OW_HTTP_MALFORMED, NULL},
 };
@@ -86,7 +94,8 @@
 {
     (void)state;
     struct ow_http_parser p;
-    const char *text = "POST /a HTTP/1.1\r\nContent-Length: 1\r\n\r\nxGET /b HTTP/1.1\r\nConnection: close\r\n\r\n";
+    const char *text =
+        "POST /a HTTP/1.1\r\nContent-Length: 1\r\n\r\nxGET /b HTTP/1.1\r\nConnection: close\r\n\r\n";
     size_t used = 0;
     ow_http_parser_init(&p, OW_HTTP_REQUEST, 100);
     assert_int_equal(ow_http_parse(&p, text, strlen(text), &used), OW_HTTP_DONE);
@@ -104,9 +113,14 @@
 static void test_noise(void **state)
 {
     (void)state;
-    static const char *pieces[] = {"GET ",  "/x",  " HTTP/1.1", "\r\n", "\n",      "Content-Length: ",
-                                   "9",     ": ",  "chunked",   "a",    "\r\n\r\n", "Transfer-Encoding: ",
-                                   "\xff\x80", "0", ";",        "POST / HTTP/1.1\r\n"};
+    static const char *pieces[] = {"GET ",      "/x",
+                                   " HTTP/1.1", "\r\n",
+                                   "\n",        "Content-Length: ",
+                                   "9",         ": ",
+                                   "chunked",   "a",
+                                   "\r\n\r\n",  "Transfer-Encoding: ",
+                                   "\xff\x80",  "0",
+                                   ";",         "POST / HTTP/1.1\r\n"};
     GRand *rand = g_rand_new_with_seed(7);
     for (int round = 0; round < 3000; round++) {
         struct ow_http_parser p;
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -29,7 +29,9 @@
     add_live(r.live, 9, 9, "n-1", 2);
     add_live(r.live, 10, 9, "n-2", 1);
     char *text = wire_progress_record(&r);
-    assert_string_equal(text, "{\"a\":9,\"d\":\"0-5,15-39\",\"l\":{\"n-1 1\":\"6-7@9,8@4\",\"n-1 2\":\"9@9\",\"n-2 1\":\"10@9\"}}");
+    assert_string_equal(
+        text,
+        "{\"a\":9,\"d\":\"0-5,15-39\",\"l\":{\"n-1 1\":\"6-7@9,8@4\",\"n-1 2\":\"9@9\",\"n-2 1\":\"10@9\"}}");
     json_t *value = wj_object(text, strlen(text));
     struct ow_progress_record again;
     assert_true(wire_progress_record_parse(value, &again));
@@ -81,7 +83,8 @@
 static void test_an_older_record_changes_nothing(void **state)
 {
     (void)state;
-    struct ow_name_tables names = {ow_names_new(), ow_names_new(), ow_names_new(), ow_names_new(), ow_names_new()};
+    struct ow_name_tables names = {ow_names_new(), ow_names_new(), ow_names_new(), ow_names_new(),
+                                   ow_names_new()};
     struct ow_jobs *jobs = ow_jobs_new(&names);
     assert_non_null(ow_jobs_apply(jobs, "run-1", 5, OW_QUEUED, world_job("run-1", 1, 1)));
     assert_int_equal(ow_jobs_open(jobs)->len, 1);
@@ -128,12 +131,9 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(test_progress),
-        cmocka_unit_test(test_the_worst_chunk_fits_a_value),
-        cmocka_unit_test(test_job_records),
-        cmocka_unit_test(test_an_older_record_changes_nothing),
-        cmocka_unit_test(test_names),
-        cmocka_unit_test(test_bucket),
+        cmocka_unit_test(test_progress),    cmocka_unit_test(test_the_worst_chunk_fits_a_value),
+        cmocka_unit_test(test_job_records), cmocka_unit_test(test_an_older_record_changes_nothing),
+        cmocka_unit_test(test_names),       cmocka_unit_test(test_bucket),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -7,18 +7,19 @@
 #include <string.h>
 #include <unistd.h>
 
-static const char good[] = "host_name = \"n-0\"\narea = \"a\"\nfront = \"10.0.0.1:8080\"\n"
-                           "peer_listen = \"10.0.0.1:8081\"\nnew_field = 3\n"
-                           "[[others]]\nhost_name = \"n-1\"\narea = \"b\"\nendpoint = \"10.0.0.2:8081\"\n"
-                           "[services]\ncloud = \"10.2.0.2:8443\"\nstate = \"10.2.0.1:2379\"\n"
-                           "[params]\nsize = 2\nzones = [\"a\", \"b\"]\ntime_bound_ms = 250.0\n"
-                           "[[params.teams]]\nname = \"ops\"\ncpus = 0.0\ncpus_max = 4\ngpus = 0.0\ngpus_max = 0.0\n"
-                           "[[params.objectives]]\nkind = \"wait\"\nclass = \"c\"\nwithin_s = 25\nshare = 0.8\n"
-                           "[[params.objectives]]\nkind = \"novel\"\nclass = \"c\"\n"
-                           "[params.workers]\nreport_s = 3.0\nlease_s = 20.0\ngang_wait_s = 35.0\ngang_peer_s = 4.0\n"
-                           "cancel_s = 40.0\n[params.state]\nrps = 80.0\nwrite_rps = 15.0\nvalue_kb = 8.0\ntxn_ops = 8\n"
-                           "[params.cloud]\nrps = 3.0\nlist_lag_s = 10.0\n"
-                           "[params.quota]\ncore_share = 0.1\nmemory_mb = 56.0\nsockets = 800\n";
+static const char good[] =
+    "host_name = \"n-0\"\narea = \"a\"\nfront = \"10.0.0.1:8080\"\n"
+    "peer_listen = \"10.0.0.1:8081\"\nnew_field = 3\n"
+    "[[others]]\nhost_name = \"n-1\"\narea = \"b\"\nendpoint = \"10.0.0.2:8081\"\n"
+    "[services]\ncloud = \"10.2.0.2:8443\"\nstate = \"10.2.0.1:2379\"\n"
+    "[params]\nsize = 2\nzones = [\"a\", \"b\"]\ntime_bound_ms = 250.0\n"
+    "[[params.teams]]\nname = \"ops\"\ncpus = 0.0\ncpus_max = 4\ngpus = 0.0\ngpus_max = 0.0\n"
+    "[[params.objectives]]\nkind = \"wait\"\nclass = \"c\"\nwithin_s = 25\nshare = 0.8\n"
+    "[[params.objectives]]\nkind = \"novel\"\nclass = \"c\"\n"
+    "[params.workers]\nreport_s = 3.0\nlease_s = 20.0\ngang_wait_s = 35.0\ngang_peer_s = 4.0\n"
+    "cancel_s = 40.0\n[params.state]\nrps = 80.0\nwrite_rps = 15.0\nvalue_kb = 8.0\ntxn_ops = 8\n"
+    "[params.cloud]\nrps = 3.0\nlist_lag_s = 10.0\n"
+    "[params.quota]\ncore_share = 0.1\nmemory_mb = 56.0\nsockets = 800\n";
 
 static char *write_file(const char *text)
 {
@@ -100,13 +101,16 @@
     (void)state;
     char *fault = NULL;
     struct ow_rules rules = ow_rules_default();
-    assert_true(load_operators("<ospreywell>\n<reservation window_s='2.5' candidates='4'/></ospreywell>", &rules, &fault));
+    assert_true(load_operators("<ospreywell>\n<reservation window_s='2.5' candidates='4'/></ospreywell>",
+                               &rules, &fault));
     assert_true(rules.window_s == 2.5 && rules.candidates == 4 && rules.hold_life_s == 10);
 }
 
 static const struct change operator_faults[] = {
-    {"<ospreywell>\n<reservation window_s='9'/></ospreywell>", NULL, "line 2: window_s: must be a number from 0 to 5"},
-    {"<ospreywell>\n\n<reservation candidates='1.5'/></ospreywell>", NULL, "line 3: candidates: must be a whole number"},
+    {"<ospreywell>\n<reservation window_s='9'/></ospreywell>", NULL,
+     "line 2: window_s: must be a number from 0 to 5"},
+    {"<ospreywell>\n\n<reservation candidates='1.5'/></ospreywell>", NULL,
+     "line 3: candidates: must be a whole number"},
     {"<ospreywell><election lease_s='soon'/></ospreywell>", NULL, "line 1: lease_s: is not a number"},
     {"<other/>", NULL, "line 1: other: the root must be ospreywell"},
     {"<ospreywell>", NULL, "line 1: no element found"},
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -7,10 +7,13 @@
 
 #include <string.h>
 
-#define JOB                                                                                                            \
-    "{\"ref\":\"run-000412\",\"flock\":\"train\",\"roost\":\"vision\",\"shape\":\"ensemble\",\"rank\":\"urgent\","       \
-    "\"talons\":16,\"cores\":8.0,\"gpus\":1,\"ram_gb\":64.0,\"plumage\":\"img-07\",\"image_gb\":6.2,\"breeds\":[\"g8\"]," \
-    "\"range\":null,\"same_place\":true,\"scatter\":false,\"windfall\":true,\"flight_s\":240.0,\"molt_s\":30.0,"          \
+#define JOB                                                                                                  \
+    "{\"ref\":\"run-000412\",\"flock\":\"train\",\"roost\":\"vision\",\"shape\":\"ensemble\",\"rank\":"      \
+    "\"urgent\","                                                                                            \
+    "\"talons\":16,\"cores\":8.0,\"gpus\":1,\"ram_gb\":64.0,\"plumage\":\"img-07\",\"image_gb\":6.2,"        \
+    "\"breeds\":[\"g8\"],"                                                                                   \
+    "\"range\":null,\"same_place\":true,\"scatter\":false,\"windfall\":true,\"flight_s\":240.0,\"molt_s\":"  \
+    "30.0,"                                                                                                  \
     "\"preen_s\":4.0,\"dusk_s\":900.0,\"later_field\":{}}"
 
 static struct ow_submission *parse_job(const char *text)
@@ -43,14 +46,29 @@
 };
 
 static const struct change bad_jobs[] = {
-    {"\"run-000412\"", "\"job-000412\""}, {"\"run-000412\"", "\"run-\""},   {"\"run-000412\"", "\"run-1/2\""},
-    {"\"run-000412\"", "412"},            {"\"talons\":16", "\"talons\":0"}, {"\"talons\":16", "\"talons\":100001"},
-    {"\"talons\":16", "\"talons\":1.5"},  {"\"talons\":16", "\"talons\":99999999999999999999"},
-    {"\"talons\":16,", ""},               {"\"ensemble\"", "\"duet\""},      {"\"urgent\"", "\"soon\""},
-    {"\"cores\":8.0", "\"cores\":-1"},    {"\"cores\":8.0", "\"cores\":\"8\""}, {"\"cores\":8.0", "\"cores\":1e300"},
-    {"\"cores\":8.0", "\"cores\":1e999"}, {"\"train\"", "\"\""},             {"\"train\"", "null"},
-    {"[\"g8\"]", "[8]"},                  {"[\"g8\"]", "\"g8\""},            {"\"range\":null", "\"range\":7"},
-    {"\"same_place\":true", "\"same_place\":1"}, {"\"preen_s\":4.0,", ""},   {"{\"ref\"", "[{\"ref\""},
+    {"\"run-000412\"", "\"job-000412\""},
+    {"\"run-000412\"", "\"run-\""},
+    {"\"run-000412\"", "\"run-1/2\""},
+    {"\"run-000412\"", "412"},
+    {"\"talons\":16", "\"talons\":0"},
+    {"\"talons\":16", "\"talons\":100001"},
+    {"\"talons\":16", "\"talons\":1.5"},
+    {"\"talons\":16", "\"talons\":99999999999999999999"},
+    {"\"talons\":16,", ""},
+    {"\"ensemble\"", "\"duet\""},
+    {"\"urgent\"", "\"soon\""},
+    {"\"cores\":8.0", "\"cores\":-1"},
+    {"\"cores\":8.0", "\"cores\":\"8\""},
+    {"\"cores\":8.0", "\"cores\":1e300"},
+    {"\"cores\":8.0", "\"cores\":1e999"},
+    {"\"train\"", "\"\""},
+    {"\"train\"", "null"},
+    {"[\"g8\"]", "[8]"},
+    {"[\"g8\"]", "\"g8\""},
+    {"\"range\":null", "\"range\":7"},
+    {"\"same_place\":true", "\"same_place\":1"},
+    {"\"preen_s\":4.0,", ""},
+    {"{\"ref\"", "[{\"ref\""},
     {"\"later_field\":{}}", "\"later_field\":{}"},
 };
 
@@ -70,17 +88,19 @@
     assert_null(parse_job("null"));
 }
 
-static const char report[] = "{\"perch\":\"n-1\",\"addr\":\"10.1.0.2:9000\",\"breed\":\"g8\",\"range\":\"a\",\"windfall\":true,"
-                             "\"stint\":1,\"chirp\":88,\"crest\":41,\"warning_s\":7.5,"
-                             "\"talons\":[{\"talon\":\"run-000412/3\",\"dive\":2,\"stance\":\"flushing\"},"
-                             "{\"talon\":\"run-000398/0\",\"dive\":1,\"stance\":\"exited\",\"cause\":\"halted\",\"saved\":true}]}";
+static const char report[] =
+    "{\"perch\":\"n-1\",\"addr\":\"10.1.0.2:9000\",\"breed\":\"g8\",\"range\":\"a\",\"windfall\":true,"
+    "\"stint\":1,\"chirp\":88,\"crest\":41,\"warning_s\":7.5,"
+    "\"talons\":[{\"talon\":\"run-000412/3\",\"dive\":2,\"stance\":\"flushing\"},"
+    "{\"talon\":\"run-000398/0\",\"dive\":1,\"stance\":\"exited\",\"cause\":\"halted\",\"saved\":true}]}";
 
 static void test_reports(void **state)
 {
     (void)state;
     struct ow_report *r = wire_report_parse(report, strlen(report));
     assert_non_null(r);
-    assert_true(r->session == 1 && r->seq == 88 && r->token == 41 && r->notice_s == 7.5 && r->tasks->len == 2);
+    assert_true(r->session == 1 && r->seq == 88 && r->token == 41 && r->notice_s == 7.5 &&
+                r->tasks->len == 2);
     const struct ow_task_report *t = &g_array_index(r->tasks, struct ow_task_report, 1);
     assert_true(t->task == 0 && t->phase == OW_EXITED && t->cause == OW_CAUSE_STOPPED && t->saved);
     ow_report_free(r);
@@ -99,8 +119,9 @@
     struct ow_order o = {.op = OW_STOP, .job = "run-7", .task = 1, .attempt = 3, .grace_s = 2};
     g_array_append_val(orders, o);
     char *text = wire_direct_orders(41, 2, orders);
-    assert_string_equal(text, "{\"crest\":41,\"stint\":2,\"calls\":[{\"call\":\"stop\",\"talon\":\"run-7/1\",\"dive\":3,"
-                              "\"glide_s\":2.0}]}");
+    assert_string_equal(
+        text, "{\"crest\":41,\"stint\":2,\"calls\":[{\"call\":\"stop\",\"talon\":\"run-7/1\",\"dive\":3,"
+              "\"glide_s\":2.0}]}");
     g_free(text);
     g_array_free(orders, TRUE);
 }
@@ -108,8 +129,9 @@
 static void test_cloud(void **state)
 {
     (void)state;
-    const char list[] = "{\"perches\":[{\"ref\":\"n-7\",\"addr\":\"10.1.0.2:9000\",\"breed\":\"g8\",\"range\":\"a\","
-                        "\"windfall\":true,\"stance\":\"running\",\"age_s\":61.5},{\"ref\":\"n-8\"}],\"has_next\":true}";
+    const char list[] =
+        "{\"perches\":[{\"ref\":\"n-7\",\"addr\":\"10.1.0.2:9000\",\"breed\":\"g8\",\"range\":\"a\","
+        "\"windfall\":true,\"stance\":\"running\",\"age_s\":61.5},{\"ref\":\"n-8\"}],\"has_next\":true}";
     bool more = false;
     GArray *machines = wire_list_parse(list, strlen(list), &more);
     assert_non_null(machines);
--- a/tests/world.c
+++ b/tests/world.c
@@ -219,16 +219,17 @@
 
 static void add_item(GArray *items, const char *key, const char *text, uint64_t version)
 {
-    struct ow_store_item item = {g_strdup(key), text != NULL ? json_loads(text, JSON_DECODE_ANY, NULL) : NULL, version};
+    struct ow_store_item item = {g_strdup(key), text != NULL ? json_loads(text, JSON_DECODE_ANY, NULL) : NULL,
+                                 version};
     g_array_append_val(items, item);
 }
 
-static void answer_store(struct world *w, int node, uint64_t nonce, uint64_t tag, int status, GArray *items, uint64_t lease,
-                         char **failed)
+static void answer_store(struct world *w, int node, uint64_t nonce, uint64_t tag, int status, GArray *items,
+                         uint64_t lease, char **failed)
 {
     struct ow_command *c = command(OW_COMMAND_STORE, tag);
-    c->store = (struct ow_store_reply){tag, status, w->revision, lease, false,
-                                       items != NULL ? items : new_items(), failed};
+    c->store = (struct ow_store_reply){
+        tag, status, w->revision, lease, false, items != NULL ? items : new_items(), failed};
     deliver(w, node, nonce, 0.01, c);
 }
 
@@ -515,8 +516,8 @@
     r->tasks = g_array_new(FALSE, TRUE, sizeof(struct ow_task_report));
     for (guint i = 0; i < m->tasks->len; i++) {
         const struct world_task *t = &g_array_index(m->tasks, struct world_task, i);
-        struct ow_task_report tr = {.task = t->task, .attempt = t->attempt, .phase = t->phase, .cause = t->cause,
-                                    .saved = t->saved};
+        struct ow_task_report tr = {
+            .task = t->task, .attempt = t->attempt, .phase = t->phase, .cause = t->cause, .saved = t->saved};
         g_strlcpy(tr.job, t->job, sizeof tr.job);
         g_array_append_val(r->tasks, tr);
     }
@@ -540,8 +541,8 @@
         for (guint k = 0; !m->gone && k < m->tasks->len; k++) {
             const struct world_task *t = &g_array_index(m->tasks, struct world_task, k);
             if (m != here && t->phase != OW_EXITED && t->task == o->task && strcmp(t->job, o->job) == 0)
-                g_string_append_printf(w->broken, "%s/%u runs twice, on %s and %s; ", o->job, o->task, m->name,
-                                       here->name);
+                g_string_append_printf(w->broken, "%s/%u runs twice, on %s and %s; ", o->job, o->task,
+                                       m->name, here->name);
         }
     }
 }
@@ -557,7 +558,8 @@
 {
     if (find_task(m, o) != NULL)
         return;
-    struct world_task t = {.task = o->task, .attempt = o->attempt, .phase = OW_FETCHING, .phase_at = w->now + FETCH_S};
+    struct world_task t = {
+        .task = o->task, .attempt = o->attempt, .phase = OW_FETCHING, .phase_at = w->now + FETCH_S};
     g_strlcpy(t.job, o->job, sizeof t.job);
     for (guint i = 0; i < m->tasks->len; i++) {
         const struct world_task *other = &g_array_index(m->tasks, struct world_task, i);
@@ -598,7 +600,8 @@
     if (m == NULL || m->gone || m->cut || m->hangs || w->hold_directs) {
         if (m != NULL && !m->gone && (m->cut || w->hold_directs)) {
             /* The cut holds the packets; they get there once it ends. */
-            struct late_direct late = {.token = e->token, .session = e->session, .orders = g_steal_pointer(&e->orders)};
+            struct late_direct late = {
+                .token = e->token, .session = e->session, .orders = g_steal_pointer(&e->orders)};
             g_strlcpy(late.machine, m->name, sizeof late.machine);
             g_array_append_val(w->late, late);
         }
@@ -683,8 +686,10 @@
     for (guint i = 0; i < m->tasks->len; i++) {
         const struct world_task *t = &g_array_index(m->tasks, struct world_task, i);
         const struct world_told *told = g_hash_table_lookup(w->told, t->job);
-        if (t->phase != OW_EXITED && told != NULL && told->stance == OW_CANCELLED && w->now > told->at + CANCEL_S)
-            g_string_append_printf(w->broken, "%s/%u is on %s long after it was cancelled; ", t->job, t->task, m->name);
+        if (t->phase != OW_EXITED && told != NULL && told->stance == OW_CANCELLED &&
+            w->now > told->at + CANCEL_S)
+            g_string_append_printf(w->broken, "%s/%u is on %s long after it was cancelled; ", t->job, t->task,
+                                   m->name);
     }
 }
 
@@ -727,8 +732,13 @@
 
 static void add_type(GArray *types, const char *name, double cpus, double gpus)
 {
-    struct ow_machine_type t = {.name = g_strdup(name), .size = {cpus, gpus, 64}, .cache_gb = 100,
-                                .fetch_gb_per_s = 1, .price = 2, .spot_price = 1, .boot_s = 5};
+    struct ow_machine_type t = {.name = g_strdup(name),
+                                .size = {cpus, gpus, 64},
+                                .cache_gb = 100,
+                                .fetch_gb_per_s = 1,
+                                .price = 2,
+                                .spot_price = 1,
+                                .boot_s = 5};
     g_array_append_val(types, t);
 }
 
@@ -747,8 +757,13 @@
     g_array_set_clear_func(list, ow_listed_machine_clear);
     for (guint i = 0; i < w->machines->len; i++) {
         const struct world_machine *m = g_ptr_array_index(w->machines, i);
-        struct ow_listed_machine l = {g_strdup(m->name), g_strdup(m->addr), g_strdup(m->type), g_strdup(m->zone),
-                                      m->spot, w->now < m->up_at ? OW_LISTED_BOOTING : OW_LISTED_RUNNING, 10};
+        struct ow_listed_machine l = {g_strdup(m->name),
+                                      g_strdup(m->addr),
+                                      g_strdup(m->type),
+                                      g_strdup(m->zone),
+                                      m->spot,
+                                      w->now < m->up_at ? OW_LISTED_BOOTING : OW_LISTED_RUNNING,
+                                      10};
         if (m->gone)
             ow_listed_machine_clear(&l);
         else
@@ -1005,7 +1020,8 @@
         step(w);
 }
 
-bool world_until(struct world *w, double seconds, bool (*holds)(struct world *w, const void *what), const void *what)
+bool world_until(struct world *w, double seconds, bool (*holds)(struct world *w, const void *what),
+                 const void *what)
 {
     for (double end = w->now + seconds; w->now < end;) {
         if (holds(w, what))
--- a/tests/world.h
+++ b/tests/world.h
@@ -28,7 +28,7 @@
     double notice_s;
     double report_at, renewed_at, sent_at;
     bool report_busy;
-    int node; /* where it reports */
+    int node;      /* where it reports */
     GArray *tasks; /* struct world_task */
     unsigned starts, forgets;
 };
@@ -53,14 +53,14 @@
     struct ow_core *cores[WORLD_NODES]; /* NULL: down */
     uint64_t node_nonce[WORLD_NODES], nonce;
     /* the state service */
-    GHashTable *keys; /* key -> struct world_value */
-    GArray *log;      /* struct world_event */
+    GHashTable *keys;   /* key -> struct world_value */
+    GArray *log;        /* struct world_event */
     GHashTable *leases; /* id -> double *: ends at */
     uint64_t revision, last_lease;
     bool state_down, cloud_down, hold_txns, lose_txn_answers;
-    bool deaf_watches; /* open watches tell nothing before their time is over */
-    bool peers_cut;    /* nothing gets from controller to controller */
-    bool keep_held;    /* what is held stays held */
+    bool deaf_watches;  /* open watches tell nothing before their time is over */
+    bool peers_cut;     /* nothing gets from controller to controller */
+    bool keep_held;     /* what is held stays held */
     unsigned hold_next; /* so many of the next transactions of `hold_node` are held */
     int hold_node;
     int denied_node;    /* the state service answers it 503; -1: none */
@@ -73,7 +73,7 @@
     GArray *late;      /* direct orders that a cut holds back */
     bool hold_directs;
     double run_s;
-    GPtrArray *queue; /* commands on their way to cores */
+    GPtrArray *queue;    /* commands on their way to cores */
     GHashTable *answers; /* request -> struct world_answer */
     GHashTable *told;    /* job -> struct world_told: how it ended, as its user heard */
     uint64_t last_request;
@@ -91,7 +91,8 @@
 void world_lose_link(struct world *w, int node, int lost);
 void world_run(struct world *w, double seconds);
 /* Runs until the predicate holds; false if it does not within the time. */
-bool world_until(struct world *w, double seconds, bool (*holds)(struct world *w, const void *what), const void *what);
+bool world_until(struct world *w, double seconds, bool (*holds)(struct world *w, const void *what),
+                 const void *what);
 /* The node that coordinates, or -1. */
 int world_leader(const struct world *w);
 
