--- a/src/core/lead.c
+++ b/src/core/lead.c
@@ -34,6 +34,8 @@
     g_hash_table_destroy(lead->returned);
     ow_recorder_free(lead->recorder);
     g_free(lead->team_used);
+    g_free(lead->entitled);
+    g_free(lead->borrows);
     g_free(lead->list_after);
     g_free(lead->load_after);
     g_free(lead);
--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -155,6 +155,7 @@
     GPtrArray *runs;
     struct ow_amounts *team_used; /* by team index of the settings' order, grown as names come */
     guint team_count;
+    bool *entitled, *borrows; /* by team index, of the pass at hand */
 
     struct ow_recorder *recorder;
     bool dirty; /* a scheduling pass is due */
@@ -190,6 +191,11 @@
 void ow_run_stop(struct ow_lead *lead, struct ow_run *run, double grace_s, const char *why);
 uint32_t ow_run_pending(const struct ow_run *run);
 struct ow_amounts *ow_team_used(struct ow_lead *lead, int team);
+/* Whether all unfinished jobs of the team together fit within its guarantee: they need not wait for others.
+ */
+bool ow_team_entitled(const struct ow_lead *lead, int team);
+/* Whether what it runs is beyond its own guarantee, and has to be given back to those entitled. */
+bool ow_team_borrows(struct ow_lead *lead, int team);
 /* How many more tasks of a job its team's limit admits. */
 uint32_t ow_team_admits(struct ow_lead *lead, const struct ow_spec *spec, uint32_t wanted);
 
--- a/src/core/preempt.c
+++ b/src/core/preempt.c
@@ -6,9 +6,17 @@
 /* Time that a stop and its report take beside the saving itself. */
 static const double GRACE_MARGIN_S = 2;
 
-static bool may_stop(const struct ow_spec *spec, const struct ow_attempt *at)
+/* Lower ranks may be stopped for higher ones. What another team runs beyond its guarantee may be stopped to
+   give a team its own; we do so for work at least as urgent as what is stopped. */
+static bool may_stop(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_attempt *at)
 {
-    return at->job->spec->submission->rank > spec->submission->rank && at->session == at->machine->session;
+    const struct ow_spec *other = at->job->spec;
+    if (at->session != at->machine->session)
+        return false;
+    if (other->submission->rank > spec->submission->rank)
+        return true;
+    return other->submission->rank == spec->submission->rank && other->team != spec->team &&
+           lead->entitled[spec->team] && lead->borrows[other->team];
 }
 
 /* Seconds of one task's work that stopping it now throws away. */
@@ -41,7 +49,7 @@
     struct ow_amounts gone = {0};
     for (guint i = 0; i < m->attempts->len; i++) {
         const struct ow_attempt *at = g_ptr_array_index(m->attempts, i);
-        if (at->stop || may_stop(spec, at))
+        if (at->stop || may_stop(lead, spec, at))
             add_need(&gone, at);
     }
     return slots_without(lead, spec, m, &gone);
@@ -69,7 +77,7 @@
         struct victim v = {at, loss_s(lead, at)};
         if (at->stop)
             add_need(&gone, at);
-        else if (may_stop(spec, at))
+        else if (may_stop(lead, spec, at))
             g_array_append_val(all, v);
     }
     g_array_sort(all, by_loss);
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -25,19 +25,53 @@
     return left <= 0 ? 0 : (uint32_t)MIN((double)wanted, left);
 }
 
-uint32_t ow_team_admits(struct ow_lead *lead, const struct ow_spec *spec, uint32_t wanted)
+static const struct ow_team_settings *team_settings(const struct ow_lead *lead, int team)
 {
-    const struct ow_amounts *used = ow_team_used(lead, spec->team);
-    const struct ow_amounts *need = &spec->submission->need;
+    const char *name = ow_names_text(lead->node->names.teams, team);
     const GArray *teams = lead->node->settings->teams;
     for (guint i = 0; i < teams->len; i++) {
         const struct ow_team_settings *t = &g_array_index(teams, struct ow_team_settings, i);
-        if (strcmp(t->name, spec->submission->team) == 0) {
-            wanted = admits(t->cpus_max, used->cpus, need->cpus, wanted);
-            return admits(t->gpus_max, used->gpus, need->gpus, wanted);
-        }
+        if (strcmp(t->name, name) == 0)
+            return t;
+    }
+    return NULL;
+}
+
+uint32_t ow_team_admits(struct ow_lead *lead, const struct ow_spec *spec, uint32_t wanted)
+{
+    const struct ow_amounts *used = ow_team_used(lead, spec->team);
+    const struct ow_amounts *need = &spec->submission->need;
+    const struct ow_team_settings *t = team_settings(lead, spec->team);
+    if (t == NULL)
+        return 0;
+    wanted = admits(t->cpus_max, used->cpus, need->cpus, wanted);
+    return admits(t->gpus_max, used->gpus, need->gpus, wanted);
+}
+
+/* A resource of which a team is guaranteed none is left out of the reckoning. */
+static bool beyond(double guarantee, double amount)
+{
+    return guarantee > 0 && amount > guarantee + 1e-6;
+}
+
+bool ow_team_entitled(const struct ow_lead *lead, int team)
+{
+    struct ow_amounts claims = {0};
+    for (guint i = 0; i < lead->runs->len; i++) {
+        const struct ow_run *run = g_ptr_array_index(lead->runs, i);
+        if (run->job->spec->team == team && !ow_job_over(run->job))
+            ow_amounts_add(&claims, &run->job->spec->submission->need, run->count - run->done);
     }
-    return 0;
+    const struct ow_team_settings *t = team_settings(lead, team);
+    bool claims_some = t != NULL && ((t->gpus > 0 && claims.gpus > 0) || (t->cpus > 0 && claims.cpus > 0));
+    return claims_some && !beyond(t->gpus, claims.gpus) && !beyond(t->cpus, claims.cpus);
+}
+
+bool ow_team_borrows(struct ow_lead *lead, int team)
+{
+    const struct ow_team_settings *t = team_settings(lead, team);
+    const struct ow_amounts *used = ow_team_used(lead, team);
+    return t != NULL && (beyond(t->gpus, used->gpus) || beyond(t->cpus, used->cpus));
 }
 
 struct ow_run *ow_run_get(struct ow_lead *lead, struct ow_job *job)
--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -5,6 +5,9 @@
 
 /* How far the size of an array counts against its age. */
 static const double SIZE_WEIGHT = 5;
+/* An entitled team waits for room to come free by itself for this share of what its aims leave, before
+   others are stopped for it: stopped work is lost work. */
+static const double CLAIM_SHARE = 0.6;
 
 static void settle(struct ow_lead *lead, struct ow_job *job)
 {
@@ -126,7 +129,10 @@
 {
     const struct ow_spec *spec = run->job->spec;
     uint32_t wanted = ow_team_admits(lead, spec, ow_run_pending(run));
-    if (spec->submission->rank == OW_RANK_LOW || spec->submission->one_zone || spec->submission->spread)
+    double patience = CLAIM_SHARE * ow_class_slack_s(lead->node, spec->class_index);
+    bool claims = lead->entitled[spec->team] && lead->node->now - run->came_at > patience;
+    if ((spec->submission->rank == OW_RANK_LOW && !claims) || spec->submission->one_zone ||
+        spec->submission->spread)
         return;
     for (guint i = 0; i < lead->machines->len && wanted > 0; i++) {
         struct ow_machine *m = g_ptr_array_index(lead->machines, i);
@@ -150,8 +156,21 @@
     return runs;
 }
 
+/* Who may claim a guarantee and who has to give back, for the whole pass. */
+static void judge_teams(struct ow_lead *lead)
+{
+    int count = ow_names_count(lead->node->names.teams);
+    lead->entitled = g_renew(bool, lead->entitled, count);
+    lead->borrows = g_renew(bool, lead->borrows, count);
+    for (int team = 0; team < count; team++) {
+        lead->entitled[team] = ow_team_entitled(lead, team);
+        lead->borrows[team] = ow_team_borrows(lead, team);
+    }
+}
+
 void ow_schedule_pass(struct ow_lead *lead)
 {
+    judge_teams(lead);
     for (guint i = 0; i < lead->machines->len; i++)
         ((struct ow_machine *)g_ptr_array_index(lead->machines, i))->held = (struct ow_amounts){0};
     GPtrArray *runs = ow_schedule_line(lead);
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -208,6 +208,35 @@
     end_world(w);
 }
 
+static void give_guarantee(struct world *w, guint team, double cpus)
+{
+    for (int i = 0; i < WORLD_NODES; i++)
+        g_array_index(w->settings[i].teams, struct ow_team_settings, team).cpus = cpus;
+}
+
+/* What a team has borrowed goes back to one that stays within its guarantee, and no more than that. */
+static void test_a_guarantee_is_given_back(void **state)
+{
+    (void)state;
+    struct world *w = start_world();
+    give_guarantee(w, 0, 4);
+    give_guarantee(w, 1, 8);
+    world_add_machine(w, "m-0", "big", "east", false);
+    world_run(w, 6);
+    w->run_s = 300;
+    world_submit(w, 0, world_job("run-1", 16, 1)); /* team open, 12 CPUs beyond its guarantee */
+    assert_true(world_until(w, 10, world_some_running, "run-1"));
+    struct ow_submission *s = world_job("run-2", 8, 1);
+    g_free(s->team);
+    s->team = g_strdup("tight");
+    world_submit(w, 0, s);
+    assert_true(world_until(w, 60, world_some_running, "run-2"));
+    world_run(w, 5);
+    assert_int_equal(world_running(w, "run-2"), 8);
+    assert_int_equal(world_running(w, "run-1"), 8);
+    end_world(w);
+}
+
 static void test_a_lost_member_ends_the_attempt(void **state)
 {
     (void)state;
@@ -280,6 +309,7 @@
         cmocka_unit_test(test_spread),
         cmocka_unit_test(test_types_zones_and_spot_are_kept),
         cmocka_unit_test(test_urgent_gangs_stop_lower_work),
+        cmocka_unit_test(test_a_guarantee_is_given_back),
         cmocka_unit_test(test_a_lost_member_ends_the_attempt),
         cmocka_unit_test(test_limits_hold_for_arrays),
         cmocka_unit_test(test_a_large_array_runs_to_its_end),
