--- a/src/core/care.c
+++ b/src/core/care.c
@@ -2,6 +2,8 @@
 #include "core/lead_state.h"
 
 static const double DRIFT = 0.002, MARGIN_S = 1.5;
+/* Recorded tasks on a machine that neither speaks nor is listed: by then it would have reported. */
+static const double UNKNOWN_S = 12;
 enum { ERRORS_TO_QUARANTINE = 2, RUN_FAILURES = 3 };
 
 /* Proof by time: a worker ends its tasks when lease_s has passed since it sent the last report that was
@@ -35,8 +37,12 @@
         ow_rent_delete(lead, m, "it has failed");
     else if (m->lost_at > 0 && now > m->lost_at && now - since > 3)
         ow_rent_delete(lead, m, "it was taken back");
-    else if (m->seen_at == 0 && m->listed == OW_LISTED_NOT && m->attempts->len > 0 && now - since > 25)
+    else if (m->seen_at == 0 && m->listed == OW_LISTED_NOT && m->attempts->len > 0 && now - since > UNKNOWN_S)
         ow_rent_delete(lead, m, "its tasks are recorded, but nothing is heard or known of it");
+    else if (!m->fenced && m->attempts->len > 0 && now - since > lead->node->settings->lease_s + 5)
+        /* Its tasks have ended with its lease, unless an older coordinator feeds it: waiting gains nothing.
+         */
+        ow_rent_delete(lead, m, "its tasks can't be accounted for");
     else if (overdue(lead, m) && now - lead->ready_at > 30)
         ow_rent_delete(lead, m, "it does not come up");
     else if (m->seen_at != 0 && now - since > 3 * lead->node->settings->lease_s)
--- a/tests/test_safety.c
+++ b/tests/test_safety.c
@@ -104,6 +104,47 @@
     end_world(w);
 }
 
+static bool job_runs(struct world *w, const void *job)
+{
+    return where(w, job) != NULL;
+}
+
+/* Tasks recorded on a machine that is gone when another coordinator takes over. */
+static void test_a_machine_gone_before_a_take_over(void **state)
+{
+    (void)state;
+    struct world *w = start_world(2);
+    w->run_s = 100;
+    world_submit(w, 0, world_job("run-1", 1, 1));
+    assert_true(world_until(w, 10, world_some_running, "run-1"));
+    struct world_machine *m = where(w, "run-1");
+    for (int i = 0; i < WORLD_NODES; i++)
+        world_kill_node(w, i);
+    m->gone = true;
+    g_array_set_size(m->tasks, 0);
+    for (int i = 0; i < WORLD_NODES; i++)
+        world_start_node(w, i);
+    assert_true(world_until(w, 22, job_runs, "run-1"));
+    end_world(w);
+}
+
+/* The same when the other controllers know the machine from the last coordinator. */
+static void test_a_machine_gone_with_its_coordinator(void **state)
+{
+    (void)state;
+    struct world *w = start_world(2);
+    w->run_s = 100;
+    world_submit(w, 0, world_job("run-1", 1, 1));
+    assert_true(world_until(w, 10, world_some_running, "run-1"));
+    world_run(w, 3);
+    struct world_machine *m = where(w, "run-1");
+    world_kill_node(w, world_leader(w));
+    m->gone = true;
+    g_array_set_size(m->tasks, 0);
+    assert_true(world_until(w, 40, job_runs, "run-1"));
+    end_world(w);
+}
+
 /* Rule 2, fencing: a machine that a deposed coordinator may still feed is no man's until it has seen the
    new token. */
 static void test_a_machine_with_an_old_token_is_not_given_up(void **state)
@@ -421,6 +462,8 @@
         cmocka_unit_test(test_no_launch_before_its_record),
         cmocka_unit_test(test_a_silent_machine_keeps_its_task_for_its_lease),
         cmocka_unit_test(test_a_deleted_machine_frees_its_tasks),
+        cmocka_unit_test(test_a_machine_gone_before_a_take_over),
+        cmocka_unit_test(test_a_machine_gone_with_its_coordinator),
         cmocka_unit_test(test_a_machine_with_an_old_token_is_not_given_up),
         cmocka_unit_test(test_a_floating_launch_is_not_cleared),
         cmocka_unit_test(test_a_result_is_kept_until_recorded),
