--- a/tests/test_safety.c
+++ b/tests/test_safety.c
@@ -136,12 +136,18 @@
     w->run_s = 100;
     world_submit(w, 0, world_job("run-1", 1, 1));
     assert_true(world_until(w, 10, world_some_running, "run-1"));
-    world_run(w, 3);
+    /* Work elsewhere, so that the machine with room is not returned as idle. */
+    struct ow_submission *other = world_job("run-2", 1, 1);
+    other->zone = g_strdup("west");
+    world_add_machine(w, "m-9", "big", "west", false);
+    world_submit(w, 0, other);
+    world_run(w, 5);
+    assert_int_equal(world_running(w, "run-2"), 1);
     struct world_machine *m = where(w, "run-1");
     world_kill_node(w, world_leader(w));
     m->gone = true;
     g_array_set_size(m->tasks, 0);
-    assert_true(world_until(w, 40, job_runs, "run-1"));
+    assert_true(world_until(w, 33, job_runs, "run-1"));
     end_world(w);
 }
 
