--- a/src/core/preempt.c
+++ b/src/core/preempt.c
@@ -5,6 +5,8 @@
 
 /* Time that a stop and its report take beside the saving itself. */
 static const double GRACE_MARGIN_S = 2;
+/* What it counts that one more job is hurt: a job is late with its last task. */
+static const double JOB_LOSS_S = 500;
 
 /* Lower ranks may be stopped for higher ones. What another team runs beyond its guarantee may be stopped to
    give a team its own; we do so for work at least as urgent as what is stopped. */
@@ -99,8 +101,13 @@
     double loss = 0;
     if (victims == NULL)
         return INFINITY;
-    for (guint i = 0; i < victims->len; i++)
-        loss += g_array_index(victims, struct victim, i).loss;
+    for (guint i = 0; i < victims->len; i++) {
+        const struct victim *v = &g_array_index(victims, struct victim, i);
+        bool first = true;
+        for (guint k = 0; k < i && first; k++)
+            first = g_array_index(victims, struct victim, k).attempt->job != v->attempt->job;
+        loss += v->loss + (first ? JOB_LOSS_S : 0);
+    }
     g_array_free(victims, TRUE);
     return loss;
 }
