--- a/src/core/care.c
+++ b/src/core/care.c
@@ -34,19 +34,19 @@
     double now = lead->node->now;
     double since = MAX(MAX(m->seen_at, m->reported_at), lead->ready_at);
     if (m->listed == OW_LISTED_FAILED)
-        ow_rent_delete(lead, m, "it has failed");
+        ow_fleet_delete(lead, m, "it has failed");
     else if (m->lost_at > 0 && now > m->lost_at && now - since > 3)
-        ow_rent_delete(lead, m, "it was taken back");
+        ow_fleet_delete(lead, m, "it was taken back");
     else if (m->seen_at == 0 && m->listed == OW_LISTED_NOT && m->attempts->len > 0 && now - since > UNKNOWN_S)
-        ow_rent_delete(lead, m, "its tasks are recorded, but nothing is heard or known of it");
+        ow_fleet_delete(lead, m, "its tasks are recorded, but nothing is heard or known of it");
     else if (!m->fenced && m->attempts->len > 0 && now - since > lead->node->settings->lease_s + 5)
         /* Its tasks have ended with its lease, unless an older coordinator feeds it: waiting gains nothing.
          */
-        ow_rent_delete(lead, m, "its tasks can't be accounted for");
+        ow_fleet_delete(lead, m, "its tasks can't be accounted for");
     else if (overdue(lead, m) && now - lead->ready_at > 30)
-        ow_rent_delete(lead, m, "it does not come up");
+        ow_fleet_delete(lead, m, "it does not come up");
     else if (m->seen_at != 0 && now - since > 3 * lead->node->settings->lease_s)
-        ow_rent_delete(lead, m, "it has been silent for too long");
+        ow_fleet_delete(lead, m, "it has been silent for too long");
 }
 
 /* Rule 7: what could still run of a cancelled job is ended by returning its machine, if nothing else works.
@@ -62,7 +62,7 @@
         if (waited > 1 && !m->direct_busy)
             m->direct_wanted = true;
         if (waited > 0.5 * lead->node->settings->cancel_s) {
-            ow_rent_delete(lead, m, "a cancelled task can't be ended otherwise");
+            ow_fleet_delete(lead, m, "a cancelled task can't be ended otherwise");
             return;
         }
     }
@@ -100,7 +100,7 @@
             m->direct_wanted = true;
         /* A faulty machine is given back; a sound one is rented in its place if it is missed. */
         if (lead->node->now < m->quarantine_until && m->attempts->len == 0)
-            ow_rent_delete(lead, m, "it is faulty");
+            ow_fleet_delete(lead, m, "it is faulty");
         pursue_cancelled(lead, m);
         pursue_silent(lead, m);
     }
--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -282,7 +282,9 @@
 
 /* rent.c */
 void ow_rent_tick(struct ow_lead *lead);
-void ow_rent_delete(struct ow_lead *lead, struct ow_machine *m, const char *why);
+
+/* fleet.c */
+void ow_fleet_delete(struct ow_lead *lead, struct ow_machine *m, const char *why);
 
 /* care.c: silent, sick and noticed machines; proofs by time */
 void ow_care_tick(struct ow_lead *lead);
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -1,17 +1,14 @@
-/* Renting for work that waits, and returning what is of no use. */
-#include "core/lead_state.h"
+/* Renting for work that waits. */
+#include "core/rent_state.h"
 
 #include <math.h>
 
-static const double LIST_S = 10, REFUSAL_S = 60, IDLE_S = 25;
+static const double REFUSAL_S = 60;
 /* The share of a class's slack that may be spent on waiting for machines that are there. */
 static const double PATIENCE = 0.75;
-/* How much longer a spot machine is kept idle than an ordinary one. */
-static const double SPOT_PATIENCE = 2;
-/* Room kept ready beyond what a class uses, where a boot takes longer than it may wait. */
-static const double SPARE_SHARE = 0.5;
+/* How many times the start of a machine a job must wait without it to be given one. */
 static const double HELP_PATIENCE = 1.5;
-/* How many times the start of a machine with GPUs other work must wait to be given one. */
+/* The same for a machine with GPUs and work without need of them. */
 static const double WASTE_PATIENCE = 1.5;
 enum { RENT_MOST = 8 };
 
@@ -30,7 +27,7 @@
     return false;
 }
 
-static void forget_refusal(struct ow_lead *lead, const struct ow_machine *m)
+void ow_rent_forget_refusal(struct ow_lead *lead, const struct ow_machine *m)
 {
     for (guint i = lead->refusals->len; i > 0; i--)
         if (is_kind(&g_array_index(lead->refusals, struct ow_rental_refusal, i - 1), m->type, m->zone,
@@ -45,88 +42,6 @@
             g_array_remove_index_fast(lead->refusals, i - 1);
 }
 
-/* ---- deleting ---- */
-
-static void on_deleted(void *owner, void *data, const struct ow_command *answer)
-{
-    struct ow_lead *lead = owner;
-    struct ow_machine *m = ow_book_find(lead, data);
-    if (m == NULL)
-        return;
-    if (answer->cloud.status == 200) {
-        g_info("machine %s is returned", m->name);
-        g_hash_table_add(lead->returned, g_strdup(m->name));
-        forget_refusal(lead, m); /* its place is free again */
-        ow_book_remove(lead, m, "its machine is deleted");
-    } else {
-        /* Refused, it was not carried out and the machine stays of use. Without an answer it may be carried
-           out yet, so nothing new goes there. */
-        m->deleting = answer->cloud.status == 0;
-        m->delete_at = lead->node->now + 2;
-    }
-}
-
-void ow_rent_delete(struct ow_lead *lead, struct ow_machine *m, const char *why)
-{
-    if (lead->node->now < m->delete_at || !ow_bucket_take(&lead->cloud, 1, lead->node->now))
-        return;
-    if (!m->deleting)
-        g_info("machine %s is being returned: %s", m->name, why);
-    struct ow_cloud_request *request = g_new0(struct ow_cloud_request, 1);
-    request->op = OW_CLOUD_DELETE;
-    request->machines = g_ptr_array_new_with_free_func(g_free);
-    g_ptr_array_add(request->machines, g_strdup(m->name));
-    m->deleting = true;
-    m->delete_at = INFINITY;
-    ow_node_cloud(lead->node, request, on_deleted, lead, g_strdup(m->name), g_free);
-}
-
-/* ---- the list ---- */
-
-static void on_listed(void *owner, void *data, const struct ow_command *answer)
-{
-    struct ow_lead *lead = owner;
-    (void)data;
-    lead->listing = false;
-    if (answer->cloud.status != 200 || answer->cloud.listed == NULL) {
-        lead->list_at = lead->node->now + 2;
-        return;
-    }
-    const GArray *listed = answer->cloud.listed;
-    lead->listed_once = true;
-    for (guint i = 0; i < listed->len; i++) {
-        const struct ow_listed_machine *l = &g_array_index(listed, struct ow_listed_machine, i);
-        if (g_hash_table_contains(lead->returned, l->name))
-            continue; /* the list lags */
-        struct ow_machine *m = ow_book_find(lead, l->name);
-        bool fresh = m == NULL;
-        if (fresh)
-            m = ow_book_get(lead, l->name);
-        ow_book_describe(lead, m, l->addr, l->type, l->zone, l->spot);
-        /* Lists lag: what its own worker said is newer. */
-        if (m->seen_at == 0 || l->state == OW_LISTED_FAILED)
-            m->listed = l->state;
-        if (fresh)
-            m->rented_at = lead->node->now - l->age_s;
-    }
-    g_clear_pointer(&lead->list_after, g_free);
-    if (answer->cloud.more && listed->len > 0)
-        lead->list_after = g_strdup(g_array_index(listed, struct ow_listed_machine, listed->len - 1).name);
-    else
-        lead->list_at = lead->node->now + LIST_S;
-}
-
-static void list(struct ow_lead *lead)
-{
-    if (!ow_bucket_take(&lead->cloud, 1, lead->node->now))
-        return;
-    struct ow_cloud_request *request = g_new0(struct ow_cloud_request, 1);
-    request->op = OW_CLOUD_LIST;
-    request->after = g_strdup(lead->list_after);
-    lead->listing = true;
-    ow_node_cloud(lead->node, request, on_listed, lead, NULL, NULL);
-}
-
 /* ---- renting ---- */
 
 struct rental_call {
@@ -166,26 +81,20 @@
     }
 }
 
-/* A machine that work could have: one that is coming up, or one to be rented. */
-struct coming {
-    struct ow_machine machine; /* a stand-in: type, zone, kind and use alone */
-    bool to_rent;
-};
-
 static GArray *coming_up(const struct ow_lead *lead)
 {
-    GArray *list_ = g_array_new(FALSE, TRUE, sizeof(struct coming));
+    GArray *list_ = g_array_new(FALSE, TRUE, sizeof(struct ow_coming));
     for (guint i = 0; i < lead->machines->len; i++) {
         const struct ow_machine *m = g_ptr_array_index(lead->machines, i);
         if (m->seen_at != 0 || m->listed != OW_LISTED_BOOTING || m->deleting)
             continue;
-        struct coming c = {.machine = {.type = m->type, .zone = m->zone, .spot = m->spot}};
+        struct ow_coming c = {.machine = {.type = m->type, .zone = m->zone, .spot = m->spot}};
         g_array_append_val(list_, c);
     }
     return list_;
 }
 
-static uint32_t take_room(const struct ow_lead *lead, const struct ow_spec *spec, struct coming *c,
+static uint32_t take_room(const struct ow_lead *lead, const struct ow_spec *spec, struct ow_coming *c,
                           uint32_t wanted)
 {
     if (!ow_place_allowed(lead, spec, &c->machine))
@@ -211,9 +120,8 @@
     return type->boot_s + (type->fetch_gb_per_s > 0 ? spec->submission->image_gb / type->fetch_gb_per_s : 0);
 }
 
-/* The cheapest kind of machine for the job that has not been refused lately. */
-static bool best_kind(const struct ow_lead *lead, const struct ow_spec *spec, double waits, bool proper,
-                      struct coming *out)
+bool ow_rent_best_kind(const struct ow_lead *lead, const struct ow_spec *spec, double waits, bool proper,
+                       struct ow_coming *out)
 {
     double best = INFINITY;
     for (int type = 0; type < OW_MAX_TYPES; type++) {
@@ -221,7 +129,8 @@
         for (char **zone = lead->node->settings->zones; t != NULL && *zone != NULL; zone++) {
             for (int spot = 0; spot < 2; spot++) {
                 int z = ow_names_add(lead->node->names.zones, *zone);
-                struct coming c = {.machine = {.type = type, .zone = z, .spot = spot != 0}, .to_rent = true};
+                struct ow_coming c = {.machine = {.type = type, .zone = z, .spot = spot != 0},
+                                      .to_rent = true};
                 uint32_t slots = ow_place_slots(lead, spec, &c.machine);
                 /* Work without need of GPUs gets a machine with them only if it would wait far longer. */
                 if (wasteful(t, spec) && (proper || waits < WASTE_PATIENCE * start_s(t, spec)))
@@ -273,7 +182,7 @@
             sum += room_for(lead, spec, m);
     }
     for (guint i = 0; i < plan->len; i++)
-        sum += room_for(lead, spec, &g_array_index(plan, struct coming, i).machine);
+        sum += room_for(lead, spec, &g_array_index(plan, struct ow_coming, i).machine);
     return sum;
 }
 
@@ -307,9 +216,9 @@
     if (in_time(lead, run, plan, ahead, &waits))
         return;
     for (guint i = 0; i < plan->len && wanted > 0; i++)
-        wanted -= take_room(lead, spec, &g_array_index(plan, struct coming, i), wanted);
-    struct coming c;
-    while (wanted > 0 && *most > 0 && best_kind(lead, spec, waits, false, &c)) {
+        wanted -= take_room(lead, spec, &g_array_index(plan, struct ow_coming, i), wanted);
+    struct ow_coming c;
+    while (wanted > 0 && *most > 0 && ow_rent_best_kind(lead, spec, waits, false, &c)) {
         uint32_t taken = take_room(lead, spec, &c, wanted);
         if (taken == 0)
             return;
@@ -321,7 +230,7 @@
     }
 }
 
-static void rent(struct ow_lead *lead, const struct coming *c, unsigned count)
+static void rent(struct ow_lead *lead, const struct ow_coming *c, unsigned count)
 {
     struct ow_cloud_request *request = g_new0(struct ow_cloud_request, 1);
     struct rental_call *call = g_new0(struct rental_call, 1);
@@ -337,7 +246,7 @@
     ow_node_cloud(lead->node, request, on_rented, lead, call, g_free);
 }
 
-static bool same_kind(const struct coming *a, const struct coming *b)
+static bool same_kind(const struct ow_coming *a, const struct ow_coming *b)
 {
     return a->to_rent && b->to_rent && a->machine.type == b->machine.type &&
            a->machine.zone == b->machine.zone && a->machine.spot == b->machine.spot;
@@ -346,98 +255,18 @@
 static void rent_planned(struct ow_lead *lead, GArray *plan)
 {
     for (guint i = 0; i < plan->len; i++) {
-        struct coming *c = &g_array_index(plan, struct coming, i);
+        struct ow_coming *c = &g_array_index(plan, struct ow_coming, i);
         unsigned count = 0;
         if (!c->to_rent)
             continue;
         for (guint k = i; k < plan->len; k++)
-            count += same_kind(c, &g_array_index(plan, struct coming, k)) ? 1 : 0;
+            count += same_kind(c, &g_array_index(plan, struct ow_coming, k)) ? 1 : 0;
         if (!ow_bucket_take(&lead->cloud, 1, lead->node->now))
             return;
         rent(lead, c, count);
         for (guint k = plan->len; k > i; k--)
-            if (k - 1 != i && same_kind(c, &g_array_index(plan, struct coming, k - 1)))
-                g_array_index(plan, struct coming, k - 1).to_rent = false;
-    }
-}
-
-/* ---- room kept ready for classes that can't wait for a machine to boot ---- */
-
-/* Whether the class has so little slack that a machine rented at need would come late for it. */
-static bool is_tight(struct ow_lead *lead, int class_index, const struct ow_machine_type *type)
-{
-    const struct ow_class *c = ow_class_of(lead->node, class_index);
-    double fetch = type->fetch_gb_per_s > 0 ? c->image_gb / type->fetch_gb_per_s : 0;
-    return ow_class_slack_s(lead->node, class_index) < 2 * type->boot_s + fetch + 20;
-}
-
-/* Whether the machine's GPUs would be wasted on the class. */
-static bool improper(const struct ow_machine_type *type, const struct ow_class *c)
-{
-    return type->size.gpus > 0 && c->need.gpus <= 0;
-}
-
-/* Slots of the class on a machine, full and free ones. */
-static uint32_t class_slots(const struct ow_lead *lead, const struct ow_class *c, const struct ow_machine *m,
-                            bool proper)
-{
-    const struct ow_machine_type *type = ow_machine_spec(lead, m);
-    if (type == NULL || (proper && improper(type, c)) || (m->spot && !c->spot) ||
-        (c->types & (UINT64_C(1) << m->type)) == 0)
-        return 0;
-    return ow_place_whole(type, &c->need);
-}
-
-/* `plan` may be NULL: machines that are up alone. */
-static uint32_t slots_there(const struct ow_lead *lead, const struct ow_class *c, bool proper,
-                            const GArray *plan)
-{
-    uint32_t slots = 0;
-    for (guint i = 0; i < lead->machines->len; i++) {
-        const struct ow_machine *m = g_ptr_array_index(lead->machines, i);
-        if (ow_book_usable(lead, m))
-            slots += class_slots(lead, c, m, proper);
-    }
-    for (guint i = 0; plan != NULL && i < plan->len; i++)
-        slots += class_slots(lead, c, &g_array_index(plan, struct coming, i).machine, proper);
-    return slots;
-}
-
-/* The tasks of a class that run or wait, and the newest of its runs as a sample. */
-static uint32_t class_tasks(const struct ow_lead *lead, int class_index, const struct ow_run **sample)
-{
-    uint32_t tasks = 0;
-    *sample = NULL;
-    for (guint i = 0; i < lead->runs->len; i++) {
-        const struct ow_run *run = g_ptr_array_index(lead->runs, i);
-        if (run->job->spec->class_index != class_index || ow_job_over(run->job))
-            continue;
-        tasks += run->count - run->done;
-        if (*sample == NULL || run->came_at > (*sample)->came_at)
-            *sample = run;
-    }
-    return tasks;
-}
-
-static void plan_spare(struct ow_lead *lead, GArray *plan, unsigned *most)
-{
-    for (guint i = 0; i < lead->node->classes->len; i++) {
-        const struct ow_run *sample = NULL;
-        double peak = ow_class_peak(lead->node, (int)i, class_tasks(lead, (int)i, &sample));
-        struct coming c;
-        if (sample == NULL || !best_kind(lead, sample->job->spec, INFINITY, true, &c))
-            continue;
-        const struct ow_machine_type *type = ow_machine_spec(lead, &c.machine);
-        const struct ow_class *class = ow_class_of(lead->node, (int)i);
-        if (!is_tight(lead, (int)i, type))
-            continue;
-        /* What it used lately and some more. */
-        double wanted = peak + MAX(class->largest, SPARE_SHARE * peak);
-        while (*most > 0 && slots_there(lead, class, true, plan) < wanted &&
-               best_kind(lead, sample->job->spec, INFINITY, true, &c)) {
-            g_array_append_val(plan, c);
-            (*most)--;
-        }
+            if (k - 1 != i && same_kind(c, &g_array_index(plan, struct ow_coming, k - 1)))
+                g_array_index(plan, struct ow_coming, k - 1).to_rent = false;
     }
 }
 
@@ -465,78 +294,18 @@
     for (guint i = 0; i < runs->len; i++)
         plan_for(lead, g_ptr_array_index(runs, i), plan, &ahead, &most);
     g_ptr_array_free(runs, TRUE);
-    plan_spare(lead, plan, &most);
+    ow_spare_plan(lead, plan, &most);
     rent_planned(lead, plan);
     g_array_free(plan, TRUE);
 }
 
-/* ---- returning ---- */
-
-static bool held(const struct ow_lead *lead, const struct ow_machine *m)
-{
-    for (guint i = 0; i < lead->runs->len; i++) {
-        const struct ow_run *run = g_ptr_array_index(lead->runs, i);
-        for (guint h = 0; run->reservation != NULL && h < run->reservation->holds->len; h++)
-            if (g_array_index(run->reservation->holds, struct ow_hold, h).machine == m)
-                return true;
-    }
-    return false;
-}
-
-/* Whether a tight class needs this machine ready although it is idle. */
-static bool worth_keeping(struct ow_lead *lead, const struct ow_machine *m)
-{
-    const struct ow_machine_type *type = ow_machine_spec(lead, m);
-    struct ow_node *node = lead->node;
-    for (guint i = 0; type != NULL && i < node->classes->len; i++) {
-        const struct ow_class *c = ow_class_of(node, (int)i);
-        bool proper = !improper(type, c);
-        uint32_t slots = class_slots(lead, c, m, proper);
-        if (!c->seen || slots == 0 || !is_tight(lead, (int)i, type))
-            continue;
-        /* An improper machine is kept only for what the class really had running lately. */
-        double wanted = proper ? c->peak * (1 + SPARE_SHARE) + c->largest : c->peak;
-        if (slots_there(lead, c, proper, NULL) < wanted + slots)
-            return true;
-    }
-    return false;
-}
-
-static bool idle(struct ow_lead *lead, const struct ow_machine *m)
-{
-    return m->attempts->len == 0 && m->fenced && !m->deleting && !held(lead, m) && !worth_keeping(lead, m);
-}
-
-/* The more machines of a type are idle, the less likely each is to be needed soon. A cheap one may wait
-   longer for work than it costs to do without it. */
-static double idle_limit(struct ow_lead *lead, const struct ow_machine *m)
-{
-    unsigned alike = 0;
-    for (guint i = 0; i < lead->machines->len; i++) {
-        const struct ow_machine *other = g_ptr_array_index(lead->machines, i);
-        alike += other->type == m->type && other->spot == m->spot && idle(lead, other) ? 1 : 0;
-    }
-    return (m->spot ? SPOT_PATIENCE : 1) * IDLE_S / MAX(alike, 1);
-}
-
-static void return_idle(struct ow_lead *lead)
-{
-    double now = lead->node->now;
-    for (guint i = lead->machines->len; i > 0; i--) {
-        struct ow_machine *m = g_ptr_array_index(lead->machines, i - 1);
-        if (idle(lead, m) && now - MAX(m->idle_since, lead->ready_at) > idle_limit(lead, m))
-            ow_rent_delete(lead, m, "it is idle");
-    }
-}
-
 void ow_rent_tick(struct ow_lead *lead)
 {
     double now = lead->node->now;
-    if (!lead->listing && now >= lead->list_at)
-        list(lead);
+    ow_fleet_list(lead);
     if (now < lead->rent_at)
         return;
     lead->rent_at = now + 1;
     rent_for_waiting(lead);
-    return_idle(lead);
+    ow_fleet_return_idle(lead);
 }
--- /dev/null
+++ b/src/core/rent_state.h
@@ -0,0 +1,30 @@
+/* What the files that rent and return machines share. */
+#ifndef OW_CORE_RENT_STATE_H
+#define OW_CORE_RENT_STATE_H
+
+#include "core/lead_state.h"
+
+/* A machine that work could have: one that is coming up, or one to be rented. */
+struct ow_coming {
+    struct ow_machine machine; /* a stand-in: type, zone, kind and use alone */
+    bool to_rent;
+};
+
+/* rent.c */
+/* The cheapest kind of machine for the job that has not been refused lately. `waits`: how long the
+   job would wait without it; `proper`: no GPUs for work that needs none. */
+bool ow_rent_best_kind(const struct ow_lead *lead, const struct ow_spec *spec, double waits, bool proper,
+                       struct ow_coming *out);
+/* A machine of its kind has gone back: its place is free again. */
+void ow_rent_forget_refusal(struct ow_lead *lead, const struct ow_machine *m);
+
+/* spare.c: room kept ready for classes that can't wait for a machine to boot */
+void ow_spare_plan(struct ow_lead *lead, GArray *plan, unsigned *most);
+/* Whether a tight class needs this machine ready although it is idle. */
+bool ow_spare_needs(struct ow_lead *lead, const struct ow_machine *m);
+
+/* fleet.c */
+void ow_fleet_list(struct ow_lead *lead);
+void ow_fleet_return_idle(struct ow_lead *lead);
+
+#endif
--- /dev/null
+++ b/src/core/spare.c
@@ -0,0 +1,103 @@
+/* Room kept ready for classes that can't wait for a machine to boot. */
+#include "core/rent_state.h"
+
+#include <math.h>
+
+/* Room kept ready beyond what a class uses. */
+static const double SPARE_SHARE = 0.5;
+
+/* Whether the class has so little slack that a machine rented at need would come late for it. */
+static bool is_tight(struct ow_lead *lead, int class_index, const struct ow_machine_type *type)
+{
+    const struct ow_class *c = ow_class_of(lead->node, class_index);
+    double fetch = type->fetch_gb_per_s > 0 ? c->image_gb / type->fetch_gb_per_s : 0;
+    return ow_class_slack_s(lead->node, class_index) < 2 * type->boot_s + fetch + 20;
+}
+
+/* Whether the machine's GPUs would be wasted on the class. */
+static bool improper(const struct ow_machine_type *type, const struct ow_class *c)
+{
+    return type->size.gpus > 0 && c->need.gpus <= 0;
+}
+
+/* Slots of the class on a machine, full and free ones. */
+static uint32_t class_slots(const struct ow_lead *lead, const struct ow_class *c, const struct ow_machine *m,
+                            bool proper)
+{
+    const struct ow_machine_type *type = ow_machine_spec(lead, m);
+    if (type == NULL || (proper && improper(type, c)) || (m->spot && !c->spot) ||
+        (c->types & (UINT64_C(1) << m->type)) == 0)
+        return 0;
+    return ow_place_whole(type, &c->need);
+}
+
+/* `plan` may be NULL: machines that are up alone. */
+static uint32_t slots_there(const struct ow_lead *lead, const struct ow_class *c, bool proper,
+                            const GArray *plan)
+{
+    uint32_t slots = 0;
+    for (guint i = 0; i < lead->machines->len; i++) {
+        const struct ow_machine *m = g_ptr_array_index(lead->machines, i);
+        if (ow_book_usable(lead, m))
+            slots += class_slots(lead, c, m, proper);
+    }
+    for (guint i = 0; plan != NULL && i < plan->len; i++)
+        slots += class_slots(lead, c, &g_array_index(plan, struct ow_coming, i).machine, proper);
+    return slots;
+}
+
+/* The tasks of a class that run or wait, and the newest of its runs as a sample. */
+static uint32_t class_tasks(const struct ow_lead *lead, int class_index, const struct ow_run **sample)
+{
+    uint32_t tasks = 0;
+    *sample = NULL;
+    for (guint i = 0; i < lead->runs->len; i++) {
+        const struct ow_run *run = g_ptr_array_index(lead->runs, i);
+        if (run->job->spec->class_index != class_index || ow_job_over(run->job))
+            continue;
+        tasks += run->count - run->done;
+        if (*sample == NULL || run->came_at > (*sample)->came_at)
+            *sample = run;
+    }
+    return tasks;
+}
+
+void ow_spare_plan(struct ow_lead *lead, GArray *plan, unsigned *most)
+{
+    for (guint i = 0; i < lead->node->classes->len; i++) {
+        const struct ow_run *sample = NULL;
+        double peak = ow_class_peak(lead->node, (int)i, class_tasks(lead, (int)i, &sample));
+        struct ow_coming c;
+        if (sample == NULL || !ow_rent_best_kind(lead, sample->job->spec, INFINITY, true, &c))
+            continue;
+        const struct ow_machine_type *type = ow_machine_spec(lead, &c.machine);
+        const struct ow_class *class = ow_class_of(lead->node, (int)i);
+        if (!is_tight(lead, (int)i, type))
+            continue;
+        /* What it used lately and some more. */
+        double wanted = peak + MAX(class->largest, SPARE_SHARE * peak);
+        while (*most > 0 && slots_there(lead, class, true, plan) < wanted &&
+               ow_rent_best_kind(lead, sample->job->spec, INFINITY, true, &c)) {
+            g_array_append_val(plan, c);
+            (*most)--;
+        }
+    }
+}
+
+bool ow_spare_needs(struct ow_lead *lead, const struct ow_machine *m)
+{
+    const struct ow_machine_type *type = ow_machine_spec(lead, m);
+    struct ow_node *node = lead->node;
+    for (guint i = 0; type != NULL && i < node->classes->len; i++) {
+        const struct ow_class *c = ow_class_of(node, (int)i);
+        bool proper = !improper(type, c);
+        uint32_t slots = class_slots(lead, c, m, proper);
+        if (!c->seen || slots == 0 || !is_tight(lead, (int)i, type))
+            continue;
+        /* An improper machine is kept only for what the class really had running lately. */
+        double wanted = proper ? c->peak * (1 + SPARE_SHARE) + c->largest : c->peak;
+        if (slots_there(lead, c, proper, NULL) < wanted + slots)
+            return true;
+    }
+    return false;
+}
