--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -4,6 +4,8 @@
 #include <math.h>
 
 static const double LIST_S = 10, IDLE_S = 25;
+/* A machine is charged for so long at least: giving it back sooner saves nothing. */
+static const double PAID_S = 60;
 /* How much longer a spot machine is kept idle than an ordinary one. */
 static const double SPOT_PATIENCE = 2;
 
@@ -124,7 +126,7 @@
     double now = lead->node->now;
     for (guint i = lead->machines->len; i > 0; i--) {
         struct ow_machine *m = g_ptr_array_index(lead->machines, i - 1);
-        if (idle(lead, m) && now - MAX(m->idle_since, lead->ready_at) > idle_limit(lead, m))
+        if (idle(lead, m) && now - m->rented_at > PAID_S && now - MAX(m->idle_since, lead->ready_at) > idle_limit(lead, m))
             ow_fleet_delete(lead, m, "it is idle");
     }
 }
