--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -4,8 +4,8 @@
 #include <math.h>
 
 static const double LIST_S = 10, IDLE_S = 25;
-/* A machine is charged for so long at least: giving it back sooner saves nothing. */
-static const double PAID_S = 60;
+/* A machine is charged for a minute at least: giving it back within the first half of it saves little. */
+static const double PAID_S = 30;
 /* How much longer a spot machine is kept idle than an ordinary one. */
 static const double SPOT_PATIENCE = 2;
 
@@ -70,8 +70,8 @@
         /* Lists lag: what its own worker said is newer. */
         if (m->seen_at == 0 || l->state == OW_LISTED_FAILED)
             m->listed = l->state;
-        if (fresh)
-            m->rented_at = lead->node->now - l->age_s;
+        /* One that reported first was older than it seemed. */
+        m->rented_at = fresh ? lead->node->now - l->age_s : MIN(m->rented_at, lead->node->now - l->age_s);
     }
     g_clear_pointer(&lead->list_after, g_free);
     if (answer->cloud.more && listed->len > 0)
@@ -126,7 +126,8 @@
     double now = lead->node->now;
     for (guint i = lead->machines->len; i > 0; i--) {
         struct ow_machine *m = g_ptr_array_index(lead->machines, i - 1);
-        if (idle(lead, m) && now - m->rented_at > PAID_S && now - MAX(m->idle_since, lead->ready_at) > idle_limit(lead, m))
+        if (idle(lead, m) && now - m->rented_at > PAID_S &&
+            now - MAX(m->idle_since, lead->ready_at) > idle_limit(lead, m))
             ow_fleet_delete(lead, m, "it is idle");
     }
 }
