--- a/src/core/classes.c
+++ b/src/core/classes.c
@@ -69,3 +69,12 @@
     }
     return slack < INFINITY ? slack : NO_AIM_SLACK_S;
 }
+
+bool ow_class_has_aim(struct ow_node *node, int class_index)
+{
+    const char *name = ow_names_text(node->names.classes, class_index);
+    for (guint i = 0; i < node->settings->objectives->len; i++)
+        if (strcmp(g_array_index(node->settings->objectives, struct ow_objective, i).class_name, name) == 0)
+            return true;
+    return false;
+}
--- a/src/core/spare.c
+++ b/src/core/spare.c
@@ -11,7 +11,9 @@
 {
     const struct ow_class *c = ow_class_of(lead->node, class_index);
     double fetch = type->fetch_gb_per_s > 0 ? c->image_gb / type->fetch_gb_per_s : 0;
-    return ow_class_slack_s(lead->node, class_index) < 2 * type->boot_s + fetch + 20;
+    /* Nobody is promised anything for a class without aims: no machine stands idle for it. */
+    return ow_class_has_aim(lead->node, class_index) &&
+           ow_class_slack_s(lead->node, class_index) < 2 * type->boot_s + fetch + 20;
 }
 
 /* Whether the machine's GPUs would be wasted on the class. */
