--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -122,7 +122,6 @@
 };
 
 struct ow_reservation {
-    struct ow_job *job;
     double opened_at; /* the window */
     bool closed;
     double short_since; /* since the window closed without a candidate for each member */
@@ -190,6 +189,8 @@
 /* Stops all attempts of a run in one round. */
 void ow_run_stop(struct ow_lead *lead, struct ow_run *run, double grace_s, const char *why);
 uint32_t ow_run_pending(const struct ow_run *run);
+/* NULL: no such team in the settings. */
+const struct ow_team_settings *ow_team_settings_of(const struct ow_lead *lead, int team);
 struct ow_amounts *ow_team_used(struct ow_lead *lead, int team);
 /* Whether all unfinished jobs of the team together fit within its guarantee: they need not wait for others.
  */
--- a/src/core/reservation.c
+++ b/src/core/reservation.c
@@ -16,7 +16,6 @@
 {
     if (run->reservation == NULL) {
         struct ow_reservation *r = g_new0(struct ow_reservation, 1);
-        r->job = run->job;
         r->opened_at = r->short_since = lead->node->now;
         r->holds = g_array_new(FALSE, FALSE, sizeof(struct ow_hold));
         run->reservation = r;
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -25,7 +25,7 @@
     return left <= 0 ? 0 : (uint32_t)MIN((double)wanted, left);
 }
 
-static const struct ow_team_settings *team_settings(const struct ow_lead *lead, int team)
+const struct ow_team_settings *ow_team_settings_of(const struct ow_lead *lead, int team)
 {
     const char *name = ow_names_text(lead->node->names.teams, team);
     const GArray *teams = lead->node->settings->teams;
@@ -41,7 +41,7 @@
 {
     const struct ow_amounts *used = ow_team_used(lead, spec->team);
     const struct ow_amounts *need = &spec->submission->need;
-    const struct ow_team_settings *t = team_settings(lead, spec->team);
+    const struct ow_team_settings *t = ow_team_settings_of(lead, spec->team);
     if (t == NULL)
         return 0;
     wanted = admits(t->cpus_max, used->cpus, need->cpus, wanted);
@@ -62,14 +62,14 @@
         if (run->job->spec->team == team && !ow_job_over(run->job))
             ow_amounts_add(&claims, &run->job->spec->submission->need, run->count - run->done);
     }
-    const struct ow_team_settings *t = team_settings(lead, team);
+    const struct ow_team_settings *t = ow_team_settings_of(lead, team);
     bool claims_some = t != NULL && ((t->gpus > 0 && claims.gpus > 0) || (t->cpus > 0 && claims.cpus > 0));
     return claims_some && !beyond(t->gpus, claims.gpus) && !beyond(t->cpus, claims.cpus);
 }
 
 bool ow_team_borrows(struct ow_lead *lead, int team)
 {
-    const struct ow_team_settings *t = team_settings(lead, team);
+    const struct ow_team_settings *t = ow_team_settings_of(lead, team);
     const struct ow_amounts *used = ow_team_used(lead, team);
     return t != NULL && (beyond(t->gpus, used->gpus) || beyond(t->cpus, used->cpus));
 }
--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -1,8 +1,6 @@
 /* The scheduling pass: who comes first, and what becomes of jobs that are over. */
 #include "core/lead_state.h"
 
-#include <string.h>
-
 /* How far the size of an array counts against its age. */
 static const double SIZE_WEIGHT = 5;
 /* An entitled team waits for room to come free by itself for this share of what its aims leave, before
@@ -58,15 +56,9 @@
     const struct ow_spec *spec = run->job->spec;
     const struct ow_amounts *used = ow_team_used(lead, spec->team);
     double waiting = ow_run_pending(run);
-    const GArray *teams = lead->node->settings->teams;
-    for (guint i = 0; i < teams->len; i++) {
-        const struct ow_team_settings *t = &g_array_index(teams, struct ow_team_settings, i);
-        if (strcmp(t->name, spec->submission->team) != 0)
-            continue;
-        return within(t->cpus, used->cpus, waiting * spec->submission->need.cpus) &&
-               within(t->gpus, used->gpus, waiting * spec->submission->need.gpus);
-    }
-    return false;
+    const struct ow_team_settings *t = ow_team_settings_of(lead, spec->team);
+    return t != NULL && within(t->cpus, used->cpus, waiting * spec->submission->need.cpus) &&
+           within(t->gpus, used->gpus, waiting * spec->submission->need.gpus);
 }
 
 static gint by_line(gconstpointer a, gconstpointer b)
--- a/src/io/client.c
+++ b/src/io/client.c
@@ -27,13 +27,9 @@
     g_string_append_len(x->body, body, (gssize)size);
 }
 
-struct sweeping {
-    struct ow_http_client *client;
-};
-
 static double sweep(void *owner, double now)
 {
-    ow_http_client_sweep(((struct sweeping *)owner)->client, now);
+    ow_http_client_sweep(owner, now);
     return 0.1;
 }
 
@@ -42,11 +38,11 @@
 {
     struct exchange x = {.body = answer};
     struct ow_loop *loop = ow_loop_new();
-    struct sweeping s = {ow_http_client_new(loop, take_answer, &x)};
-    ow_http_client_send(s.client, server, method, path, body, TIMEOUT_S, 1);
+    struct ow_http_client *client = ow_http_client_new(loop, take_answer, &x);
+    ow_http_client_send(client, server, method, path, body, TIMEOUT_S, 1);
     while (!x.ended)
-        ow_loop_once(loop, sweep, &s);
-    ow_http_client_free(s.client);
+        ow_loop_once(loop, sweep, client);
+    ow_http_client_free(client);
     ow_loop_free(loop);
     return x.status;
 }
