--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -192,11 +192,16 @@
 /* NULL: no such team in the settings. */
 const struct ow_team_settings *ow_team_settings_of(const struct ow_lead *lead, int team);
 struct ow_amounts *ow_team_used(struct ow_lead *lead, int team);
+/* Whether the amounts lie within what the team is guaranteed. A resource of which it is guaranteed none is left
+   out; one that is guaranteed must be among them. */
+bool ow_team_guarantees(const struct ow_lead *lead, int team, const struct ow_amounts *amounts);
 /* Whether all unfinished jobs of the team together fit within its guarantee: they need not wait for others.
  */
 bool ow_team_entitled(const struct ow_lead *lead, int team);
 /* Whether what it runs is beyond its own guarantee, and has to be given back to those entitled. */
 bool ow_team_borrows(struct ow_lead *lead, int team);
+/* Whether the run's team is entitled and has waited long enough for others to be stopped for it. */
+bool ow_run_claims(const struct ow_lead *lead, const struct ow_run *run);
 /* How many more tasks of a job its team's limit admits. */
 uint32_t ow_team_admits(struct ow_lead *lead, const struct ow_spec *spec, uint32_t wanted);
 
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -244,7 +244,8 @@
     double slack = ow_class_slack_s(lead->node, run->job->spec->class_index);
     /* A fetch that costs more than the work it serves is made only when the aims need it. */
     bool dear = fetch_s > ow_class_run_s(lead->node, run->job->spec);
-    if (fetch_s <= SHORT_FETCH_S)
+    /* Room that others are stopped for must be taken, or they would be put there and stopped again. */
+    if (fetch_s <= SHORT_FETCH_S || ow_run_claims(lead, run))
         return false;
     if (dear && waits < BUSY_PATIENCE * slack && has_work_for_its_images(lead, run, m))
         return true;
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -6,6 +6,10 @@
 /* Weight of the newest run in a machine's slowness, and the most that one may say. */
 static const double SPEED_NEWEST = 0.1, SPEED_MOST = 6;
 
+/* An entitled team waits for room to come free by itself for this share of what its aims leave, before
+   others are stopped for it: stopped work is lost work. */
+static const double CLAIM_SHARE = 0.6;
+
 struct ow_amounts *ow_team_used(struct ow_lead *lead, int team)
 {
     guint wanted = (guint)team + 1;
@@ -54,6 +58,13 @@
     return guarantee > 0 && amount > guarantee + 1e-6;
 }
 
+bool ow_team_guarantees(const struct ow_lead *lead, int team, const struct ow_amounts *amounts)
+{
+    const struct ow_team_settings *t = ow_team_settings_of(lead, team);
+    bool some = t != NULL && ((t->gpus > 0 && amounts->gpus > 0) || (t->cpus > 0 && amounts->cpus > 0));
+    return some && !beyond(t->gpus, amounts->gpus) && !beyond(t->cpus, amounts->cpus);
+}
+
 bool ow_team_entitled(const struct ow_lead *lead, int team)
 {
     struct ow_amounts claims = {0};
@@ -62,9 +73,7 @@
         if (run->job->spec->team == team && !ow_job_over(run->job))
             ow_amounts_add(&claims, &run->job->spec->submission->need, run->count - run->done);
     }
-    const struct ow_team_settings *t = ow_team_settings_of(lead, team);
-    bool claims_some = t != NULL && ((t->gpus > 0 && claims.gpus > 0) || (t->cpus > 0 && claims.cpus > 0));
-    return claims_some && !beyond(t->gpus, claims.gpus) && !beyond(t->cpus, claims.cpus);
+    return ow_team_guarantees(lead, team, &claims);
 }
 
 bool ow_team_borrows(struct ow_lead *lead, int team)
@@ -74,6 +83,13 @@
     return t != NULL && (beyond(t->gpus, used->gpus) || beyond(t->cpus, used->cpus));
 }
 
+bool ow_run_claims(const struct ow_lead *lead, const struct ow_run *run)
+{
+    const struct ow_spec *spec = run->job->spec;
+    double patience = CLAIM_SHARE * ow_class_slack_s(lead->node, spec->class_index);
+    return lead->entitled[spec->team] && lead->node->now - run->came_at > patience;
+}
+
 struct ow_run *ow_run_get(struct ow_lead *lead, struct ow_job *job)
 {
     if (job->run != NULL)
--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -3,10 +3,6 @@
 
 /* How far the size of an array counts against its age. */
 static const double SIZE_WEIGHT = 5;
-/* An entitled team waits for room to come free by itself for this share of what its aims leave, before
-   others are stopped for it: stopped work is lost work. */
-static const double CLAIM_SHARE = 0.6;
-
 static void settle(struct ow_lead *lead, struct ow_job *job)
 {
     struct ow_run *run = ow_run_get(lead, job);
@@ -45,20 +41,13 @@
     double turn;    /* earlier goes first */
 };
 
-static bool within(double guarantee, double used, double need)
-{
-    return need <= 0 || used + need <= guarantee + 1e-6;
-}
-
 /* Whether the team stays within its guarantee with the job's waiting tasks. */
 static bool guaranteed(struct ow_lead *lead, const struct ow_run *run)
 {
     const struct ow_spec *spec = run->job->spec;
-    const struct ow_amounts *used = ow_team_used(lead, spec->team);
-    double waiting = ow_run_pending(run);
-    const struct ow_team_settings *t = ow_team_settings_of(lead, spec->team);
-    return t != NULL && within(t->cpus, used->cpus, waiting * spec->submission->need.cpus) &&
-           within(t->gpus, used->gpus, waiting * spec->submission->need.gpus);
+    struct ow_amounts then = *ow_team_used(lead, spec->team);
+    ow_amounts_add(&then, &spec->submission->need, ow_run_pending(run));
+    return ow_team_guarantees(lead, spec->team, &then);
 }
 
 static gint by_line(gconstpointer a, gconstpointer b)
@@ -121,9 +110,7 @@
 {
     const struct ow_spec *spec = run->job->spec;
     uint32_t wanted = ow_team_admits(lead, spec, ow_run_pending(run));
-    double patience = CLAIM_SHARE * ow_class_slack_s(lead->node, spec->class_index);
-    bool claims = lead->entitled[spec->team] && lead->node->now - run->came_at > patience;
-    if ((spec->submission->rank == OW_RANK_LOW && !claims) || spec->submission->one_zone ||
+    if ((spec->submission->rank == OW_RANK_LOW && !ow_run_claims(lead, run)) || spec->submission->one_zone ||
         spec->submission->spread)
         return;
     for (guint i = 0; i < lead->machines->len && wanted > 0; i++) {
