--- a/src/core/book.c
+++ b/src/core/book.c
@@ -58,9 +58,7 @@
     for (guint i = 0; i < lead->runs->len; i++) {
         struct ow_run *run = g_ptr_array_index(lead->runs, i);
         g_hash_table_remove(run->bad_machines, m);
-        for (guint h = run->reservation != NULL ? run->reservation->holds->len : 0; h > 0; h--)
-            if (g_array_index(run->reservation->holds, struct ow_hold, h - 1).machine == m)
-                g_array_remove_index_fast(run->reservation->holds, h - 1);
+        ow_reservation_forget(run->reservation, m);
     }
     g_hash_table_remove(lead->machines_by_name, m->name);
     g_ptr_array_remove_fast(lead->machines, m);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -4,20 +4,20 @@
 #include <math.h>
 
 static const double LIST_S = 10, IDLE_S = 25;
+/* Names in one deletion, by the cloud's protocol. */
+enum { DELETE_MOST = 100 };
 /* A machine is charged for a minute at least: giving it back within the first half of it saves little. */
 static const double PAID_S = 30;
 /* How much longer a spot machine is kept idle than an ordinary one. */
 static const double SPOT_PATIENCE = 2;
+/* An idle share of one in so many counts as one idle machine. */
+static const double CROWD_SHARES = 10;
 
 /* ---- deleting ---- */
 
-static void on_deleted(void *owner, void *data, const struct ow_command *answer)
+static void take_deletion(struct ow_lead *lead, struct ow_machine *m, int status)
 {
-    struct ow_lead *lead = owner;
-    struct ow_machine *m = ow_book_find(lead, data);
-    if (m == NULL)
-        return;
-    if (answer->cloud.status == 200) {
+    if (status == 200) {
         g_info("machine %s is returned", m->name);
         g_hash_table_add(lead->returned, g_strdup(m->name));
         ow_rent_forget_refusal(lead, m); /* its place is free again */
@@ -25,24 +25,53 @@
     } else {
         /* Refused, it was not carried out and the machine stays of use. Without an answer it may be carried
            out yet, so nothing new goes there. */
-        m->deleting = answer->cloud.status == 0;
+        m->deleting = status == 0;
         m->delete_at = lead->node->now + 2;
     }
 }
 
+static void on_deleted(void *owner, void *data, const struct ow_command *answer)
+{
+    struct ow_lead *lead = owner;
+    const GPtrArray *names = data;
+    for (guint i = 0; i < names->len; i++) {
+        struct ow_machine *m = ow_book_find(lead, g_ptr_array_index(names, i));
+        if (m != NULL)
+            take_deletion(lead, m, answer->cloud.status);
+    }
+}
+
 void ow_fleet_delete(struct ow_lead *lead, struct ow_machine *m, const char *why)
 {
-    if (lead->node->now < m->delete_at || !ow_bucket_take(&lead->cloud, 1, lead->node->now))
+    double now = lead->node->now;
+    if (now < m->delete_at || ow_bucket_level(&lead->cloud, now) < 1)
         return;
     if (!m->deleting)
         g_info("machine %s is being returned: %s", m->name, why);
+    m->deleting = true;
+    m->delete_at = INFINITY;
+    g_ptr_array_add(lead->doomed, g_strdup(m->name));
+}
+
+static void free_names(void *names)
+{
+    g_ptr_array_free(names, TRUE);
+}
+
+void ow_fleet_send_deletions(struct ow_lead *lead)
+{
+    if (lead->doomed->len == 0 || !ow_bucket_take(&lead->cloud, 1, lead->node->now))
+        return;
     struct ow_cloud_request *request = g_new0(struct ow_cloud_request, 1);
+    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
     request->op = OW_CLOUD_DELETE;
     request->machines = g_ptr_array_new_with_free_func(g_free);
-    g_ptr_array_add(request->machines, g_strdup(m->name));
-    m->deleting = true;
-    m->delete_at = INFINITY;
-    ow_node_cloud(lead->node, request, on_deleted, lead, g_strdup(m->name), g_free);
+    for (guint i = 0; i < lead->doomed->len && i < DELETE_MOST; i++) {
+        g_ptr_array_add(names, g_strdup(g_ptr_array_index(lead->doomed, i)));
+        g_ptr_array_add(request->machines, g_strdup(g_ptr_array_index(lead->doomed, i)));
+    }
+    g_ptr_array_remove_range(lead->doomed, 0, names->len);
+    ow_node_cloud(lead->node, request, on_deleted, lead, names, free_names);
 }
 
 /* ---- the list ---- */
@@ -93,41 +122,50 @@
 
 /* ---- returning ---- */
 
-static bool held(const struct ow_lead *lead, const struct ow_machine *m)
+static bool idle(const struct ow_machine *m)
 {
-    for (guint i = 0; i < lead->runs->len; i++) {
-        const struct ow_run *run = g_ptr_array_index(lead->runs, i);
-        for (guint h = 0; run->reservation != NULL && h < run->reservation->holds->len; h++)
-            if (g_array_index(run->reservation->holds, struct ow_hold, h).machine == m)
-                return true;
-    }
-    return false;
+    return m->attempts->len == 0 && m->fenced && !m->deleting && m->holders == 0;
 }
 
-static bool idle(struct ow_lead *lead, const struct ow_machine *m)
+static bool alike(const struct ow_machine *a, const struct ow_machine *b)
 {
-    return m->attempts->len == 0 && m->fenced && !m->deleting && !held(lead, m) && !ow_spare_needs(lead, m);
+    return a->type == b->type && a->spot == b->spot;
 }
 
-/* The more machines of a type are idle, the less likely each is to be needed soon. A cheap one may wait
-   longer for work than it costs to do without it. */
-static double idle_limit(struct ow_lead *lead, const struct ow_machine *m)
+/* The more machines of a kind are idle, the less likely each is to be needed soon; in a large fleet their
+   share counts, or a moment's lull would empty it. A cheap one may wait longer for work than it costs to do
+   without it. */
+static double idle_limit(const struct ow_machine *m, unsigned idle_alike, unsigned all_alike)
 {
-    unsigned alike = 0;
-    for (guint i = 0; i < lead->machines->len; i++) {
-        const struct ow_machine *other = g_ptr_array_index(lead->machines, i);
-        alike += other->type == m->type && other->spot == m->spot && idle(lead, other) ? 1 : 0;
-    }
-    return (m->spot ? SPOT_PATIENCE : 1) * IDLE_S / MAX(alike, 1);
+    double crowd = MIN(idle_alike, CROWD_SHARES * idle_alike / MAX(all_alike, 1));
+    return (m->spot ? SPOT_PATIENCE : 1) * IDLE_S / MAX(crowd, 1);
+}
+
+/* Idle machines that no class needs ready, and how many there are of a machine's kind. */
+static void count_alike(const struct ow_lead *lead, const GPtrArray *unneeded, const struct ow_machine *m,
+                        unsigned *idle_alike, unsigned *all_alike)
+{
+    *idle_alike = *all_alike = 0;
+    for (guint i = 0; i < unneeded->len; i++)
+        *idle_alike += alike(g_ptr_array_index(unneeded, i), m) ? 1 : 0;
+    for (guint i = 0; i < lead->machines->len; i++)
+        *all_alike += alike(g_ptr_array_index(lead->machines, i), m) ? 1 : 0;
 }
 
 void ow_fleet_return_idle(struct ow_lead *lead)
 {
     double now = lead->node->now;
-    for (guint i = lead->machines->len; i > 0; i--) {
-        struct ow_machine *m = g_ptr_array_index(lead->machines, i - 1);
-        if (idle(lead, m) && now - m->rented_at > PAID_S &&
-            now - MAX(m->idle_since, lead->ready_at) > idle_limit(lead, m))
+    GPtrArray *unneeded = ow_spare_unneeded(lead, idle);
+    const struct ow_machine *last = NULL;
+    unsigned idle_alike = 0, all_alike = 0;
+    for (guint i = 0; i < unneeded->len; i++) {
+        struct ow_machine *m = g_ptr_array_index(unneeded, i);
+        if (last == NULL || !alike(m, last))
+            count_alike(lead, unneeded, m, &idle_alike, &all_alike);
+        last = m;
+        if (now - m->rented_at > PAID_S &&
+            now - MAX(m->idle_since, lead->ready_at) > idle_limit(m, idle_alike, all_alike))
             ow_fleet_delete(lead, m, "it is idle");
     }
+    g_ptr_array_free(unneeded, TRUE);
 }
--- a/src/core/lead.c
+++ b/src/core/lead.c
@@ -16,6 +16,7 @@
     lead->machines = g_ptr_array_new_with_free_func(ow_machine_free);
     lead->runs = g_ptr_array_new();
     lead->refusals = g_array_new(FALSE, FALSE, sizeof(struct ow_rental_refusal));
+    lead->doomed = g_ptr_array_new_with_free_func(g_free);
     lead->returned = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     lead->recorder = ow_recorder_new(lead);
     ow_bucket_init(&lead->cloud, 0.8 * node->settings->cloud_rps, node->settings->cloud_rps, node->now);
@@ -31,6 +32,7 @@
     g_hash_table_destroy(lead->machines_by_name);
     g_ptr_array_free(lead->machines, TRUE);
     g_array_free(lead->refusals, TRUE);
+    g_ptr_array_free(lead->doomed, TRUE);
     g_hash_table_destroy(lead->returned);
     ow_recorder_free(lead->recorder);
     g_free(lead->team_used);
@@ -154,6 +156,7 @@
         ow_care_tick(lead);
     }
     ow_rent_tick(lead);
+    ow_fleet_send_deletions(lead);
     ow_recorder_tick(lead);
     ow_orders_send(lead);
     if (now >= lead->summary_at) {
--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -111,6 +111,7 @@
     bool draining, deleting;
     double delete_at;       /* the next try */
     struct ow_amounts held; /* scratch of the scheduling pass */
+    unsigned holders;       /* gangs that hold room on it; counted by reservation.c */
 };
 
 /* ---- holds: reservation.c ---- */
@@ -166,6 +167,7 @@
     char *list_after;
     unsigned rentals;
     unsigned renting;     /* calls under way */
+    GPtrArray *doomed;    /* names of machines whose deletion is to be sent */
     GHashTable *returned; /* names of machines deleted, which lagging lists still show */
     GArray *refusals;     /* struct ow_rental_refusal */
     int gpu_rank;         /* the most urgent rank among open jobs that need GPUs */
@@ -192,8 +194,8 @@
 /* NULL: no such team in the settings. */
 const struct ow_team_settings *ow_team_settings_of(const struct ow_lead *lead, int team);
 struct ow_amounts *ow_team_used(struct ow_lead *lead, int team);
-/* Whether the amounts lie within what the team is guaranteed. A resource of which it is guaranteed none is left
-   out; one that is guaranteed must be among them. */
+/* Whether the amounts lie within what the team is guaranteed. A resource of which it is guaranteed none is
+   left out; one that is guaranteed must be among them. */
 bool ow_team_guarantees(const struct ow_lead *lead, int team, const struct ow_amounts *amounts);
 /* Whether all unfinished jobs of the team together fit within its guarantee: they need not wait for others.
  */
@@ -273,6 +275,10 @@
 
 /* reservation.c */
 void ow_reservation_try(struct ow_lead *lead, struct ow_run *run);
+/* Whether the machine is held for another waiting gang. */
+bool ow_reservation_conflicts(const struct ow_run *run, const struct ow_machine *m);
+/* Drops what is held on a machine that is gone. */
+void ow_reservation_forget(struct ow_reservation *reservation, const struct ow_machine *m);
 void ow_reservation_free(struct ow_reservation *reservation);
 /* Books the standing holds of a run against the machines, for jobs behind it in line. */
 void ow_reservation_book(struct ow_run *run);
@@ -290,7 +296,9 @@
 void ow_rent_tick(struct ow_lead *lead);
 
 /* fleet.c */
+/* The machine is to be returned; the call goes out with all others of the same round. */
 void ow_fleet_delete(struct ow_lead *lead, struct ow_machine *m, const char *why);
+void ow_fleet_send_deletions(struct ow_lead *lead);
 
 /* care.c: silent, sick and noticed machines; proofs by time */
 void ow_care_tick(struct ow_lead *lead);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -96,19 +96,6 @@
     return x->cost < y->cost ? -1 : x->cost > y->cost;
 }
 
-static bool held_for_another(const struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m)
-{
-    for (guint i = 0; i < lead->runs->len; i++) {
-        const struct ow_run *other = g_ptr_array_index(lead->runs, i);
-        if (other == run || other->reservation == NULL)
-            continue;
-        for (guint h = 0; h < other->reservation->holds->len; h++)
-            if (g_array_index(other->reservation->holds, struct ow_hold, h).machine == m)
-                return true;
-    }
-    return false;
-}
-
 bool ow_place_may(const struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m)
 {
     return ow_book_usable(lead, m) && ow_place_allowed(lead, run->job->spec, m) &&
@@ -127,7 +114,7 @@
         if (room.slots == 0)
             continue;
         room.cost = ow_place_cost(lead, run, m);
-        room.conflicted = spec->submission->gang && held_for_another(lead, run, m);
+        room.conflicted = spec->submission->gang && ow_reservation_conflicts(run, m);
         g_array_append_val(rooms, room);
     }
     g_array_sort(rooms, by_cost);
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -10,7 +10,12 @@
 static const double HELP_PATIENCE = 1.5;
 /* The same for a machine with GPUs and work without need of them. */
 static const double WASTE_PATIENCE = 1.5;
-enum { RENT_MOST = 8 };
+/* So much dearer for a task than the cheapest proper kind a machine with GPUs may be without being a waste.
+ */
+static const double FAIR_PRICE = 2;
+/* A class without aims gets dear machines only for work that has waited so long. */
+static const double DEAR_WAIT_S = 90;
+enum { RENT_MOST = 50 };
 
 /* ---- refusals ---- */
 
@@ -109,11 +114,36 @@
     return type->zones == NULL || g_strv_contains((const char *const *)type->zones, zone);
 }
 
-static bool wasteful(const struct ow_machine_type *type, const struct ow_spec *spec)
+static bool improper(const struct ow_machine_type *type, const struct ow_spec *spec)
 {
     return type->size.gpus > 0 && spec->submission->need.gpus <= 0;
 }
 
+/* Hourly rent for a task of the job. */
+static double price_of(const struct ow_machine_type *type, const struct ow_spec *spec, bool spot)
+{
+    uint32_t slots = MIN(ow_place_whole(type, &spec->submission->need), spec->submission->tasks);
+    return slots > 0 ? (spot ? type->spot_price : type->price) / slots : INFINITY;
+}
+
+/* The cheapest ordinary machine without GPUs, whether or not it is to be had. */
+static double proper_price(const struct ow_lead *lead, const struct ow_spec *spec)
+{
+    double best = INFINITY;
+    for (int i = 0; i < OW_MAX_TYPES; i++) {
+        const struct ow_machine_type *t = lead->node->types[i];
+        if (t != NULL && !improper(t, spec) && (spec->types & (UINT64_C(1) << i)) != 0)
+            best = MIN(best, price_of(t, spec, false));
+    }
+    return best;
+}
+
+static bool wasteful(const struct ow_lead *lead, const struct ow_machine_type *type,
+                     const struct ow_spec *spec, bool spot)
+{
+    return improper(type, spec) && price_of(type, spec, spot) > FAIR_PRICE * proper_price(lead, spec);
+}
+
 /* How long a new machine takes until it can run the job. */
 static double start_s(const struct ow_machine_type *type, const struct ow_spec *spec)
 {
@@ -121,7 +151,7 @@
 }
 
 bool ow_rent_best_kind(const struct ow_lead *lead, const struct ow_spec *spec, double waits, bool proper,
-                       struct ow_coming *out)
+                       bool cheap, struct ow_coming *out)
 {
     double best = INFINITY;
     for (int type = 0; type < OW_MAX_TYPES; type++) {
@@ -133,14 +163,18 @@
                                       .to_rent = true};
                 uint32_t slots = ow_place_slots(lead, spec, &c.machine);
                 /* Work without need of GPUs gets a machine with them only if it would wait far longer. */
-                if (wasteful(t, spec) && (proper || waits < WASTE_PATIENCE * start_s(t, spec)))
+                if (improper(t, spec) && proper)
+                    continue;
+                if (wasteful(lead, t, spec, spot != 0) && waits < WASTE_PATIENCE * start_s(t, spec))
+                    continue;
+                if (cheap && spot == 0)
                     continue;
                 if (waits < HELP_PATIENCE * start_s(t, spec))
                     continue; /* it would come too late to help */
                 if (!offered_in(t, *zone) || slots == 0 || !ow_place_allowed(lead, spec, &c.machine) ||
                     refused(lead, type, z, spot != 0))
                     continue;
-                double price = (spot ? t->spot_price : t->price) / MIN(slots, spec->submission->tasks);
+                double price = price_of(t, spec, spot != 0);
                 if (price < best) {
                     best = price;
                     *out = c;
@@ -215,10 +249,12 @@
     double waits;
     if (in_time(lead, run, plan, ahead, &waits))
         return;
+    bool cheap = spec->submission->spot && !ow_class_has_aim(lead->node, spec->class_index) &&
+                 lead->node->now - run->came_at < DEAR_WAIT_S;
     for (guint i = 0; i < plan->len && wanted > 0; i++)
         wanted -= take_room(lead, spec, &g_array_index(plan, struct ow_coming, i), wanted);
     struct ow_coming c;
-    while (wanted > 0 && *most > 0 && ow_rent_best_kind(lead, spec, waits, false, &c)) {
+    while (wanted > 0 && *most > 0 && ow_rent_best_kind(lead, spec, waits, false, cheap, &c)) {
         uint32_t taken = take_room(lead, spec, &c, wanted);
         if (taken == 0)
             return;
--- a/src/core/rent_state.h
+++ b/src/core/rent_state.h
@@ -12,16 +12,17 @@
 
 /* rent.c */
 /* The cheapest kind of machine for the job that has not been refused lately. `waits`: how long the
-   job would wait without it; `proper`: no GPUs for work that needs none. */
+   job would wait without it; `proper`: no GPUs for work that needs none; `cheap`: spot alone. */
 bool ow_rent_best_kind(const struct ow_lead *lead, const struct ow_spec *spec, double waits, bool proper,
-                       struct ow_coming *out);
+                       bool cheap, struct ow_coming *out);
 /* A machine of its kind has gone back: its place is free again. */
 void ow_rent_forget_refusal(struct ow_lead *lead, const struct ow_machine *m);
 
 /* spare.c: room kept ready for classes that can't wait for a machine to boot */
 void ow_spare_plan(struct ow_lead *lead, GArray *plan, unsigned *most);
-/* Whether a tight class needs this machine ready although it is idle. */
-bool ow_spare_needs(struct ow_lead *lead, const struct ow_machine *m);
+/* The machines that are idle and that no tight class needs ready, dearest first; the caller frees the array.
+ */
+GPtrArray *ow_spare_unneeded(struct ow_lead *lead, bool (*idle)(const struct ow_machine *m));
 
 /* fleet.c */
 void ow_fleet_list(struct ow_lead *lead);
--- a/src/core/reservation.c
+++ b/src/core/reservation.c
@@ -23,10 +23,44 @@
     return run->reservation;
 }
 
+static bool holds_on(const struct ow_reservation *r, const struct ow_machine *m)
+{
+    for (guint i = 0; r != NULL && i < r->holds->len; i++)
+        if (g_array_index(r->holds, struct ow_hold, i).machine == m)
+            return true;
+    return false;
+}
+
+bool ow_reservation_conflicts(const struct ow_run *run, const struct ow_machine *m)
+{
+    return m->holders > (holds_on(run->reservation, m) ? 1 : 0);
+}
+
+static void drop_hold(struct ow_reservation *r, guint index)
+{
+    struct ow_machine *m = g_array_index(r->holds, struct ow_hold, index).machine;
+    g_array_remove_index_fast(r->holds, index);
+    m->holders -= holds_on(r, m) ? 0 : 1;
+}
+
+static void drop_holds(struct ow_reservation *r)
+{
+    while (r->holds->len > 0)
+        drop_hold(r, r->holds->len - 1);
+}
+
+void ow_reservation_forget(struct ow_reservation *r, const struct ow_machine *m)
+{
+    for (guint i = r != NULL ? r->holds->len : 0; i > 0; i--)
+        if (g_array_index(r->holds, struct ow_hold, i - 1).machine == m)
+            drop_hold(r, i - 1);
+}
+
 void ow_reservation_free(struct ow_reservation *r)
 {
     if (r == NULL)
         return;
+    drop_holds(r);
     g_array_free(r->holds, TRUE);
     g_free(r);
 }
@@ -116,6 +150,7 @@
         if (old->member == member && old->machine == m)
             return;
     }
+    m->holders += holds_on(r, m) ? 0 : 1;
     struct ow_hold h = {m, member, now};
     g_array_append_val(r->holds, h);
 }
@@ -125,7 +160,7 @@
     for (guint k = r->holds->len; k > 0; k--)
         if (lead->node->now - g_array_index(r->holds, struct ow_hold, k - 1).made_at >=
             lead->node->rules->hold_life_s)
-            g_array_remove_index_fast(r->holds, k - 1);
+            drop_hold(r, k - 1);
 }
 
 /* Each member holds what was picked for it. */
@@ -182,7 +217,7 @@
     }
     if (all) {
         /* Every member has its machine: the other holds are cancelled. */
-        g_array_set_size(run->reservation->holds, 0);
+        drop_holds(run->reservation);
         hold(lead, run, picks);
     }
     g_array_free(picks, TRUE);
@@ -202,12 +237,12 @@
         /* The window is over: what was not picked is cancelled. */
         r->closed = true;
         r->short_since = now;
-        g_array_set_size(r->holds, 0);
+        drop_holds(r);
     }
     if (!r->given_up && now - r->short_since > limit) {
         r->given_up = true;
         r->again_at = now + limit / 4;
-        g_array_set_size(r->holds, 0);
+        drop_holds(r);
         g_info("gang %s: holds dropped after %.0f s, its place is kept", run->job->id, limit);
     }
     if (r->given_up && now < r->again_at)
--- a/src/core/spare.c
+++ b/src/core/spare.c
@@ -30,7 +30,11 @@
     if (type == NULL || (proper && improper(type, c)) || (m->spot && !c->spot) ||
         (c->types & (UINT64_C(1) << m->type)) == 0)
         return 0;
-    return ow_place_whole(type, &c->need);
+    /* What ordinary GPU machines have for it is what their GPUs leave over, as in placement. */
+    struct ow_machine_type left = {.size = type->size};
+    if (improper(type, c) && !m->spot)
+        left.size.cpus = MAX(0, left.size.cpus - left.size.gpus * lead->gpu_cpus);
+    return ow_place_whole(&left, &c->need);
 }
 
 /* `plan` may be NULL: machines that are up alone. */
@@ -70,7 +74,7 @@
         const struct ow_run *sample = NULL;
         double peak = ow_class_peak(lead->node, (int)i, class_tasks(lead, (int)i, &sample));
         struct ow_coming c;
-        if (sample == NULL || !ow_rent_best_kind(lead, sample->job->spec, INFINITY, true, &c))
+        if (sample == NULL || !ow_rent_best_kind(lead, sample->job->spec, INFINITY, true, false, &c))
             continue;
         const struct ow_machine_type *type = ow_machine_spec(lead, &c.machine);
         const struct ow_class *class = ow_class_of(lead->node, (int)i);
@@ -79,27 +83,84 @@
         /* What it used lately and some more. */
         double wanted = peak + MAX(class->largest, SPARE_SHARE * peak);
         while (*most > 0 && slots_there(lead, class, true, plan) < wanted &&
-               ow_rent_best_kind(lead, sample->job->spec, INFINITY, true, &c)) {
+               ow_rent_best_kind(lead, sample->job->spec, INFINITY, true, false, &c)) {
             g_array_append_val(plan, c);
             (*most)--;
         }
     }
 }
 
-bool ow_spare_needs(struct ow_lead *lead, const struct ow_machine *m)
+/* What a class needs to find ready, and what of that is there. */
+struct need {
+    const struct ow_class *class;
+    int class_index;
+    bool proper;
+    double wanted, there;
+};
+
+/* An improper machine is kept only for what the class really had running lately. */
+static GArray *class_needs(struct ow_lead *lead)
+{
+    GArray *needs = g_array_new(FALSE, FALSE, sizeof(struct need));
+    for (guint i = 0; i < lead->node->classes->len; i++) {
+        const struct ow_class *c = ow_class_of(lead->node, (int)i);
+        for (int proper = 0; c->seen && proper < 2; proper++) {
+            struct need n = {c, (int)i, proper != 0,
+                             proper ? c->peak * (1 + SPARE_SHARE) + c->largest : c->peak,
+                             slots_there(lead, c, proper, NULL)};
+            g_array_append_val(needs, n);
+        }
+    }
+    return needs;
+}
+
+/* Whether a class would miss the machine; if none would, it counts as gone from here on. */
+static bool spared(struct ow_lead *lead, GArray *needs, const struct ow_machine *m)
 {
     const struct ow_machine_type *type = ow_machine_spec(lead, m);
-    struct ow_node *node = lead->node;
-    for (guint i = 0; type != NULL && i < node->classes->len; i++) {
-        const struct ow_class *c = ow_class_of(node, (int)i);
-        bool proper = !improper(type, c);
-        uint32_t slots = class_slots(lead, c, m, proper);
-        if (!c->seen || slots == 0 || !is_tight(lead, (int)i, type))
-            continue;
-        /* An improper machine is kept only for what the class really had running lately. */
-        double wanted = proper ? c->peak * (1 + SPARE_SHARE) + c->largest : c->peak;
-        if (slots_there(lead, c, proper, NULL) < wanted + slots)
-            return true;
+    for (guint i = 0; i < needs->len; i++) {
+        const struct need *n = &g_array_index(needs, struct need, i);
+        uint32_t slots = class_slots(lead, n->class, m, n->proper);
+        bool matters =
+            slots > 0 && n->proper == !improper(type, n->class) && is_tight(lead, n->class_index, type);
+        if (matters && n->there < n->wanted + slots)
+            return false;
+    }
+    for (guint i = 0; i < needs->len; i++) {
+        struct need *n = &g_array_index(needs, struct need, i);
+        n->there -= class_slots(lead, n->class, m, n->proper);
+    }
+    return true;
+}
+
+static double rent_of(const struct ow_lead *lead, const struct ow_machine *m)
+{
+    const struct ow_machine_type *type = ow_machine_spec(lead, m);
+    return m->spot ? type->spot_price : type->price;
+}
+
+static gint dearest_first(gconstpointer a, gconstpointer b, gpointer lead)
+{
+    const struct ow_machine *x = *(const struct ow_machine *const *)a,
+                            *y = *(const struct ow_machine *const *)b;
+    double left = rent_of(lead, x), right = rent_of(lead, y);
+    return left != right ? (left > right ? -1 : 1) : x->type - y->type;
+}
+
+GPtrArray *ow_spare_unneeded(struct ow_lead *lead, bool (*idle)(const struct ow_machine *m))
+{
+    GPtrArray *found = g_ptr_array_new(), *unneeded = g_ptr_array_new();
+    for (guint i = 0; i < lead->machines->len; i++) {
+        struct ow_machine *m = g_ptr_array_index(lead->machines, i);
+        if (ow_machine_spec(lead, m) != NULL && idle(m))
+            g_ptr_array_add(found, m);
     }
-    return false;
+    g_ptr_array_sort_with_data(found, dearest_first, lead);
+    GArray *needs = class_needs(lead);
+    for (guint i = 0; i < found->len; i++)
+        if (spared(lead, needs, g_ptr_array_index(found, i)))
+            g_ptr_array_add(unneeded, g_ptr_array_index(found, i));
+    g_array_free(needs, TRUE);
+    g_ptr_array_free(found, TRUE);
+    return unneeded;
 }
