--- a/src/core/classes.c
+++ b/src/core/classes.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 /* Weight of the newest run, and bounds that keep one odd job from ruling its class. */
-static const double NEWEST = 0.05, RATIO_LEAST = 0.3, RATIO_MOST = 4, NO_AIM_SLACK_S = 20, PEAK_S = 150;
+static const double NEWEST = 0.05, RATIO_LEAST = 0.3, RATIO_MOST = 4, NO_AIM_SLACK_S = 80, PEAK_S = 150;
 
 struct ow_class *ow_class_of(struct ow_node *node, int class_index)
 {
--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -263,6 +263,8 @@
 /* Whether tasks of the run may be put there now, room aside. */
 bool ow_place_may(const struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m);
 uint32_t ow_place_slots(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_machine *m);
+/* Whether the run's work is to wait for cheap machines for now. */
+bool ow_place_cheaply(const struct ow_lead *lead, const struct ow_run *run);
 double ow_place_cost(const struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m);
 /* Every machine with room for the job, cheapest first: struct ow_room each. */
 GArray *ow_place_rooms(const struct ow_lead *lead, const struct ow_run *run);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -13,6 +13,8 @@
 static const double BUSY_PATIENCE = 1.5;
 /* Estimates are rough: only a machine so much slower than expected counts as slow. */
 static const double SLOW = 1.7;
+/* Work without aims goes on dear machines only after it has waited so long for cheap ones. */
+static const double DEAR_WAIT_S = 60;
 /* A fetch so short is never worth waiting for. */
 static const double SHORT_FETCH_S = 10;
 
@@ -102,16 +104,40 @@
            !g_hash_table_contains(run->bad_machines, m);
 }
 
+bool ow_place_cheaply(const struct ow_lead *lead, const struct ow_run *run)
+{
+    const struct ow_spec *spec = run->job->spec;
+    return spec->submission->spot && !ow_class_has_aim(lead->node, spec->class_index) &&
+           lead->node->now - run->came_at < DEAR_WAIT_S;
+}
+
+/* Whether no class with aims has proper use for such machines: they cost what work without aims is not worth
+   while there are cheaper ones of their type. */
+static bool dear(const struct ow_lead *lead, const struct ow_machine *m)
+{
+    const struct ow_machine_type *type = ow_machine_spec(lead, m);
+    if (m->spot || type->spot_price <= 0 || type->spot_price >= type->price)
+        return false;
+    for (guint i = 0; i < lead->node->classes->len; i++) {
+        const struct ow_class *c = &g_array_index(lead->node->classes, struct ow_class, i);
+        if (c->seen && (c->types & (UINT64_C(1) << m->type)) != 0 && ow_place_whole(type, &c->need) > 0 &&
+            (type->size.gpus <= 0 || c->need.gpus > 0) && ow_class_has_aim(lead->node, (int)i))
+            return false;
+    }
+    return true;
+}
+
 GArray *ow_place_rooms(const struct ow_lead *lead, const struct ow_run *run)
 {
     GArray *rooms = g_array_new(FALSE, FALSE, sizeof(struct ow_room));
     const struct ow_spec *spec = run->job->spec;
+    bool cheaply = ow_place_cheaply(lead, run);
     for (guint i = 0; i < lead->machines->len; i++) {
         struct ow_machine *m = g_ptr_array_index(lead->machines, i);
         if (!ow_place_may(lead, run, m))
             continue;
         struct ow_room room = {.machine = m, .slots = ow_place_slots(lead, spec, m)};
-        if (room.slots == 0)
+        if (room.slots == 0 || (cheaply && dear(lead, m)))
             continue;
         room.cost = ow_place_cost(lead, run, m);
         room.conflicted = spec->submission->gang && ow_reservation_conflicts(run, m);
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -13,8 +13,6 @@
 /* So much dearer for a task than the cheapest proper kind a machine with GPUs may be without being a waste.
  */
 static const double FAIR_PRICE = 2;
-/* A class without aims gets dear machines only for work that has waited so long. */
-static const double DEAR_WAIT_S = 90;
 enum { RENT_MOST = 50 };
 
 /* ---- refusals ---- */
@@ -114,34 +112,37 @@
     return type->zones == NULL || g_strv_contains((const char *const *)type->zones, zone);
 }
 
-static bool improper(const struct ow_machine_type *type, const struct ow_spec *spec)
+static bool improper(const struct ow_machine_type *type, const struct ow_amounts *need)
 {
-    return type->size.gpus > 0 && spec->submission->need.gpus <= 0;
+    return type->size.gpus > 0 && need->gpus <= 0;
 }
 
-/* Hourly rent for a task of the job. */
-static double price_of(const struct ow_machine_type *type, const struct ow_spec *spec, bool spot)
+/* Hourly rent for a task. */
+static double price_of(const struct ow_machine_type *type, const struct ow_amounts *need, bool spot)
 {
-    uint32_t slots = MIN(ow_place_whole(type, &spec->submission->need), spec->submission->tasks);
+    uint32_t slots = ow_place_whole(type, need);
     return slots > 0 ? (spot ? type->spot_price : type->price) / slots : INFINITY;
 }
 
 /* The cheapest ordinary machine without GPUs, whether or not it is to be had. */
-static double proper_price(const struct ow_lead *lead, const struct ow_spec *spec)
+static double proper_price(const struct ow_lead *lead, const struct ow_amounts *need, uint64_t types)
 {
     double best = INFINITY;
     for (int i = 0; i < OW_MAX_TYPES; i++) {
         const struct ow_machine_type *t = lead->node->types[i];
-        if (t != NULL && !improper(t, spec) && (spec->types & (UINT64_C(1) << i)) != 0)
-            best = MIN(best, price_of(t, spec, false));
+        if (t != NULL && !improper(t, need) && (types & (UINT64_C(1) << i)) != 0)
+            best = MIN(best, price_of(t, need, false));
     }
     return best;
 }
 
-static bool wasteful(const struct ow_lead *lead, const struct ow_machine_type *type,
-                     const struct ow_spec *spec, bool spot)
+bool ow_rent_wasteful(const struct ow_lead *lead, const struct ow_machine_type *type,
+                      const struct ow_class *c, bool spot)
 {
-    return improper(type, spec) && price_of(type, spec, spot) > FAIR_PRICE * proper_price(lead, spec);
+    /* Less urgent work gets only what the GPUs leave over. */
+    return improper(type, &c->need) &&
+           ((int)c->rank >= lead->gpu_rank ||
+            price_of(type, &c->need, spot) > FAIR_PRICE * proper_price(lead, &c->need, c->types));
 }
 
 /* How long a new machine takes until it can run the job. */
@@ -162,10 +163,10 @@
                 struct ow_coming c = {.machine = {.type = type, .zone = z, .spot = spot != 0},
                                       .to_rent = true};
                 uint32_t slots = ow_place_slots(lead, spec, &c.machine);
+                bool wasteful =
+                    ow_rent_wasteful(lead, t, ow_class_of(lead->node, spec->class_index), spot != 0);
                 /* Work without need of GPUs gets a machine with them only if it would wait far longer. */
-                if (improper(t, spec) && proper)
-                    continue;
-                if (wasteful(lead, t, spec, spot != 0) && waits < WASTE_PATIENCE * start_s(t, spec))
+                if (wasteful && (proper || waits < WASTE_PATIENCE * start_s(t, spec)))
                     continue;
                 if (cheap && spot == 0)
                     continue;
@@ -174,7 +175,7 @@
                 if (!offered_in(t, *zone) || slots == 0 || !ow_place_allowed(lead, spec, &c.machine) ||
                     refused(lead, type, z, spot != 0))
                     continue;
-                double price = price_of(t, spec, spot != 0);
+                double price = (spot ? t->spot_price : t->price) / MIN(slots, spec->submission->tasks);
                 if (price < best) {
                     best = price;
                     *out = c;
@@ -249,8 +250,7 @@
     double waits;
     if (in_time(lead, run, plan, ahead, &waits))
         return;
-    bool cheap = spec->submission->spot && !ow_class_has_aim(lead->node, spec->class_index) &&
-                 lead->node->now - run->came_at < DEAR_WAIT_S;
+    bool cheap = ow_place_cheaply(lead, run);
     for (guint i = 0; i < plan->len && wanted > 0; i++)
         wanted -= take_room(lead, spec, &g_array_index(plan, struct ow_coming, i), wanted);
     struct ow_coming c;
--- a/src/core/rent_state.h
+++ b/src/core/rent_state.h
@@ -15,6 +15,9 @@
    job would wait without it; `proper`: no GPUs for work that needs none; `cheap`: spot alone. */
 bool ow_rent_best_kind(const struct ow_lead *lead, const struct ow_spec *spec, double waits, bool proper,
                        bool cheap, struct ow_coming *out);
+/* Whether a machine with GPUs would be too dear for work without need of them. */
+bool ow_rent_wasteful(const struct ow_lead *lead, const struct ow_machine_type *type,
+                      const struct ow_class *c, bool spot);
 /* A machine of its kind has gone back: its place is free again. */
 void ow_rent_forget_refusal(struct ow_lead *lead, const struct ow_machine *m);
 
