--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -48,7 +48,8 @@
     double gpus = type->size.gpus - m->used.gpus - m->stray.gpus - m->held.gpus;
     double cpus = type->size.cpus - m->used.cpus - m->stray.cpus - m->held.cpus;
     double memory = type->size.memory_gb - m->used.memory_gb - m->stray.memory_gb - m->held.memory_gb;
-    if (need->gpus <= 0 && gpus > 0 && (!m->spot || (int)spec->submission->rank >= lead->gpu_rank))
+    if (need->gpus <= 0 && gpus > 0 &&
+        (!m->spot || m->gpus_kept || (int)spec->submission->rank >= lead->gpu_rank))
         /* Room that the machine's free GPUs need to be of use to work at least as urgent. */
         cpus -= gpus * lead->gpu_cpus;
     double slots = MIN(MIN(fit(cpus, need->cpus), fit(gpus, need->gpus)), fit(memory, need->memory_gb));
--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -34,6 +34,51 @@
     }
 }
 
+/* GPUs that get through the work of GPU jobs in the time that their classes leave to wait. */
+static double gpus_wanted(struct ow_lead *lead)
+{
+    double wanted = 0;
+    for (guint i = 0; i < lead->runs->len; i++) {
+        const struct ow_run *run = g_ptr_array_index(lead->runs, i);
+        const struct ow_spec *spec = run->job->spec;
+        double gpus = (run->count - run->done) * spec->submission->need.gpus;
+        double slack = MAX(ow_class_slack_s(lead->node, spec->class_index), 1);
+        if (gpus > 0 && !ow_job_over(run->job))
+            wanted += gpus * MIN(1, ow_class_run_s(lead->node, spec) / slack);
+    }
+    return wanted;
+}
+
+/* How well a machine serves GPU work: 2, it does so now; 1, it is free of other work; 0, it is not. */
+static int gpu_fitness(const struct ow_machine *m)
+{
+    int fitness = 1;
+    for (guint i = 0; i < m->attempts->len; i++) {
+        if (((const struct ow_attempt *)g_ptr_array_index(m->attempts, i))->job->spec->submission->need.gpus >
+            0)
+            return 2;
+        fitness = 0;
+    }
+    return fitness;
+}
+
+/* More urgent work may fill cheap GPU machines, but for those that GPU work needs: it would else be driven to
+   dear ones. */
+static void keep_gpus(struct ow_lead *lead)
+{
+    double wanted = gpus_wanted(lead);
+    for (int fitness = 2; fitness >= 0; fitness--) {
+        for (guint i = 0; i < lead->machines->len; i++) {
+            struct ow_machine *m = g_ptr_array_index(lead->machines, i);
+            const struct ow_machine_type *type = ow_machine_spec(lead, m);
+            if (!m->spot || type == NULL || type->size.gpus <= 0 || gpu_fitness(m) != fitness)
+                continue;
+            m->gpus_kept = wanted > 0;
+            wanted -= type->size.gpus;
+        }
+    }
+}
+
 struct entry {
     struct ow_run *run;
     int rank;
@@ -150,6 +195,7 @@
 void ow_schedule_pass(struct ow_lead *lead)
 {
     judge_teams(lead);
+    keep_gpus(lead);
     for (guint i = 0; i < lead->machines->len; i++)
         ((struct ow_machine *)g_ptr_array_index(lead->machines, i))->held = (struct ow_amounts){0};
     GPtrArray *runs = ow_schedule_line(lead);
