--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -110,9 +110,10 @@
     double slowness; /* run time against the estimate's, as seen; 1: as expected */
     double idle_since;
     bool draining, deleting;
-    double delete_at;       /* the next try */
-    struct ow_amounts held; /* scratch of the scheduling pass */
-    unsigned holders;       /* gangs that hold room on it; counted by reservation.c */
+    double delete_at;              /* the next try */
+    struct ow_amounts held;        /* scratch of the scheduling pass: kept from everybody behind in line */
+    struct ow_amounts held_softly; /* the same, but gangs that can start at once may take it */
+    unsigned holders;              /* gangs that hold room on it; counted by reservation.c */
 };
 
 /* ---- holds: reservation.c ---- */
@@ -120,6 +121,7 @@
 struct ow_hold {
     struct ow_machine *machine;
     uint32_t member;
+    bool picked; /* what the gang would start on, if there were enough of it; else a further candidate */
     double made_at;
 };
 
@@ -127,6 +129,8 @@
     double opened_at; /* the window */
     bool closed;
     double short_since; /* since the window closed without a candidate for each member */
+    bool stops;         /* work is being stopped to make the room that is held */
+    double stops_at;    /* when that was weighed last */
     bool given_up;      /* waited past the limit: the holds are dropped, the place is kept */
     double again_at;
     GArray *holds; /* struct ow_hold */
@@ -284,7 +288,7 @@
 void ow_reservation_forget(struct ow_reservation *reservation, const struct ow_machine *m);
 void ow_reservation_free(struct ow_reservation *reservation);
 /* Books the standing holds of a run against the machines, for jobs behind it in line. */
-void ow_reservation_book(struct ow_run *run);
+void ow_reservation_book(const struct ow_lead *lead, struct ow_run *run, uint64_t *firm_zones);
 
 /* preempt.c */
 /* Slots for the job on a machine if all work that may be stopped for it went. */
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -45,9 +45,14 @@
     const struct ow_amounts *need = &spec->submission->need;
     if (type == NULL)
         return 0;
-    double gpus = type->size.gpus - m->used.gpus - m->stray.gpus - m->held.gpus;
-    double cpus = type->size.cpus - m->used.cpus - m->stray.cpus - m->held.cpus;
-    double memory = type->size.memory_gb - m->used.memory_gb - m->stray.memory_gb - m->held.memory_gb;
+    struct ow_amounts taken = m->used;
+    ow_amounts_add(&taken, &m->stray, 1);
+    ow_amounts_add(&taken, &m->held, 1);
+    if (!spec->submission->gang)
+        ow_amounts_add(&taken, &m->held_softly, 1);
+    double gpus = type->size.gpus - taken.gpus;
+    double cpus = type->size.cpus - taken.cpus;
+    double memory = type->size.memory_gb - taken.memory_gb;
     if (need->gpus <= 0 && gpus > 0 &&
         (!m->spot || m->gpus_kept || (int)spec->submission->rank >= lead->gpu_rank))
         /* Room that the machine's free GPUs need to be of use to work at least as urgent. */
--- a/src/core/reservation.c
+++ b/src/core/reservation.c
@@ -7,6 +7,10 @@
 
 #include <math.h>
 
+/* How long a gang waits before what it holds is its own. */
+static const double FIRM_S = 45;
+static const double STOPS_GAP_S = 0.5;
+
 struct pick {
     struct ow_machine *machine;
     uint32_t count;
@@ -101,6 +105,14 @@
     return left;
 }
 
+static bool zone_before(const GArray *rooms, guint end, int zone)
+{
+    for (guint i = 0; i < end; i++)
+        if (g_array_index(rooms, struct ow_room, i).machine->zone == zone)
+            return true;
+    return false;
+}
+
 /* The best pick over the zones if the gang must stay in one; fewest members left, then cheapest. */
 static uint32_t best_pick(const struct ow_run *run, const GArray *rooms, GArray *out)
 {
@@ -110,6 +122,8 @@
     for (guint i = 0; i < MAX(rooms->len, 1); i++) {
         int only =
             one_zone && rooms->len > 0 ? g_array_index(rooms, struct ow_room, i).machine->zone : OW_NO_NAME;
+        if (only != OW_NO_NAME && zone_before(rooms, i, only))
+            continue;
         GArray *picks = g_array_new(FALSE, FALSE, sizeof(struct pick));
         double cost = 0;
         uint32_t left = pick_members(run, rooms, only, picks, &cost);
@@ -143,7 +157,7 @@
     g_clear_pointer(&run->reservation, ow_reservation_free);
 }
 
-static void add_hold(struct ow_reservation *r, struct ow_machine *m, uint32_t member, double now)
+static void add_hold(struct ow_reservation *r, struct ow_machine *m, uint32_t member, bool picked, double now)
 {
     for (guint k = 0; k < r->holds->len; k++) {
         const struct ow_hold *old = &g_array_index(r->holds, struct ow_hold, k);
@@ -151,7 +165,7 @@
             return;
     }
     m->holders += holds_on(r, m) ? 0 : 1;
-    struct ow_hold h = {m, member, now};
+    struct ow_hold h = {m, member, picked, now};
     g_array_append_val(r->holds, h);
 }
 
@@ -163,14 +177,16 @@
             drop_hold(r, k - 1);
 }
 
-/* Each member holds what was picked for it. */
+/* Each member holds what is picked for it now, and nothing else: a hold left over from an earlier pick would
+   keep room from everybody. */
 static void hold(struct ow_lead *lead, struct ow_run *run, const GArray *picks)
 {
     uint32_t member = 0;
+    drop_holds(run->reservation);
     for (guint i = 0; i < picks->len; i++) {
         const struct pick *p = &g_array_index(picks, struct pick, i);
         for (uint32_t n = 0; n < p->count; n++, member++)
-            add_hold(run->reservation, p->machine, member, lead->node->now);
+            add_hold(run->reservation, p->machine, member, true, lead->node->now);
     }
 }
 
@@ -180,7 +196,7 @@
     struct ow_reservation *r = run->reservation;
     for (uint32_t member = 0; member < run->count && member < rooms->len; member++)
         for (guint i = 0; i < rooms->len && i < lead->node->rules->candidates; i++)
-            add_hold(r, g_array_index(rooms, struct ow_room, i).machine, member, lead->node->now);
+            add_hold(r, g_array_index(rooms, struct ow_room, i).machine, member, false, lead->node->now);
 }
 
 /* Rooms as they would be after stopping what may be stopped, in the order of what that costs. */
@@ -215,11 +231,8 @@
         const struct pick *p = &g_array_index(picks, struct pick, i);
         ow_preempt_make_room(lead, run, p->machine, p->count);
     }
-    if (all) {
-        /* Every member has its machine: the other holds are cancelled. */
-        drop_holds(run->reservation);
-        hold(lead, run, picks);
-    }
+    if (all)
+        hold(lead, run, picks); /* every member has its machine: the other holds are cancelled */
     g_array_free(picks, TRUE);
     g_array_free(rooms, TRUE);
     return all;
@@ -230,14 +243,13 @@
     struct ow_reservation *r = run->reservation;
     double now = lead->node->now, limit = lead->node->rules->waiting_limit_s;
     if (now < r->opened_at + lead->node->rules->window_s) {
+        hold(lead, run, picks);
         collect(lead, run, rooms);
         return;
     }
     if (!r->closed) {
-        /* The window is over: what was not picked is cancelled. */
         r->closed = true;
         r->short_since = now;
-        drop_holds(r);
     }
     if (!r->given_up && now - r->short_since > limit) {
         r->given_up = true;
@@ -254,29 +266,62 @@
     hold(lead, run, picks);
 }
 
+/* Stopping work is weighed again only after a while; until then what was picked stays held. */
+static bool stops_pending(const struct ow_lead *lead, const struct ow_reservation *r)
+{
+    return lead->node->now < r->stops_at + STOPS_GAP_S;
+}
+
 void ow_reservation_try(struct ow_lead *lead, struct ow_run *run)
 {
+    struct ow_reservation *r = reservation_of(lead, run);
+    drop_old_holds(lead, r);
     /* Rule 4: nothing of a gang starts while an earlier attempt is not accounted for. */
     if (run->attempts->len > 0 || ow_team_admits(lead, run->job->spec, run->count) < run->count)
         return;
-    drop_old_holds(lead, reservation_of(lead, run));
     GArray *rooms = ow_place_rooms(lead, run);
     GArray *picks = g_array_new(FALSE, FALSE, sizeof(struct pick));
-    if (best_pick(run, rooms, picks) == 0)
+    if (best_pick(run, rooms, picks) == 0) {
         start_all(lead, run, picks);
-    else if (!make_room(lead, run))
-        stay_short(lead, run, rooms, picks);
+    } else if (!(r->stops && stops_pending(lead, r))) {
+        if (!stops_pending(lead, r)) {
+            r->stops = make_room(lead, run);
+            r->stops_at = lead->node->now;
+        }
+        if (!r->stops)
+            stay_short(lead, run, rooms, picks);
+    }
     g_array_free(picks, TRUE);
     g_array_free(rooms, TRUE);
 }
 
-void ow_reservation_book(struct ow_run *run)
+/* A gang behind in line that can start at once may take room from one that is short and has not waited long:
+   a held room is taken if there is no other, and a large gang would else idle a zone while it fills. What a
+   gang has waited for so long, or stops work for, is its own; of those that have waited long the first in
+   each zone, since two that fill the same zone keep each other waiting. */
+static bool firm(const struct ow_lead *lead, const struct ow_run *run, uint64_t *firm_zones)
+{
+    const struct ow_reservation *r = run->reservation;
+    if (r->stops)
+        return true;
+    if (r->holds->len == 0 || lead->node->now - run->came_at < FIRM_S)
+        return false;
+    int zone = g_array_index(r->holds, struct ow_hold, 0).machine->zone;
+    uint64_t bit = UINT64_C(1) << (zone & 63);
+    bool first = (*firm_zones & bit) == 0;
+    *firm_zones |= bit;
+    return first;
+}
+
+void ow_reservation_book(const struct ow_lead *lead, struct ow_run *run, uint64_t *firm_zones)
 {
     if (run->reservation == NULL)
         return;
     const struct ow_amounts *need = &run->job->spec->submission->need;
+    bool is_firm = firm(lead, run, firm_zones);
     for (guint i = 0; i < run->reservation->holds->len; i++) {
-        struct ow_machine *m = g_array_index(run->reservation->holds, struct ow_hold, i).machine;
-        ow_amounts_add(&m->held, need, 1);
+        const struct ow_hold *h = &g_array_index(run->reservation->holds, struct ow_hold, i);
+        if (h->picked)
+            ow_amounts_add(is_firm ? &h->machine->held : &h->machine->held_softly, need, 1);
     }
 }
--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -192,18 +192,43 @@
     }
 }
 
+static void clear_held(struct ow_lead *lead)
+{
+    for (guint i = 0; i < lead->machines->len; i++) {
+        struct ow_machine *m = g_ptr_array_index(lead->machines, i);
+        m->held = m->held_softly = (struct ow_amounts){0};
+    }
+}
+
+/* Less urgent gangs take nothing from more urgent ones. */
+static void harden_held(struct ow_lead *lead)
+{
+    for (guint i = 0; i < lead->machines->len; i++) {
+        struct ow_machine *m = g_ptr_array_index(lead->machines, i);
+        ow_amounts_add(&m->held, &m->held_softly, 1);
+        m->held_softly = (struct ow_amounts){0};
+    }
+}
+
+static int rank_of(const struct ow_run *run)
+{
+    return (int)run->job->spec->submission->rank;
+}
+
 void ow_schedule_pass(struct ow_lead *lead)
 {
     judge_teams(lead);
     keep_gpus(lead);
-    for (guint i = 0; i < lead->machines->len; i++)
-        ((struct ow_machine *)g_ptr_array_index(lead->machines, i))->held = (struct ow_amounts){0};
+    clear_held(lead);
     GPtrArray *runs = ow_schedule_line(lead);
+    uint64_t firm_zones = 0;
     for (guint i = 0; i < runs->len; i++) {
         struct ow_run *run = g_ptr_array_index(runs, i);
+        if (i > 0 && rank_of(run) != rank_of(g_ptr_array_index(runs, i - 1)))
+            harden_held(lead);
         if (run->job->spec->submission->gang) {
             ow_reservation_try(lead, run);
-            ow_reservation_book(run);
+            ow_reservation_book(lead, run, &firm_zones);
         } else {
             ow_place_array(lead, run);
             if (ow_run_pending(run) > 0)
