--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -45,11 +45,24 @@
 struct ow_chunk {
     struct ow_job *job;
     uint32_t index;
-    uint64_t version; /* of its record; 0: none */
+    struct ow_group *group; /* where its record stands; NULL: nowhere yet */
+    uint64_t version;       /* of the value that it was loaded from */
     uint64_t last_attempt;
     bool dirty, writing;
 };
 
+/* ---- records that share a value: pack.c; what becomes of it: recorder.c ---- */
+
+struct ow_group {
+    uint32_t number;
+    uint64_t version;  /* of its value; 0: none */
+    int class_index;   /* of its chunks */
+    GPtrArray *chunks; /* struct ow_chunk, of runs */
+    size_t bytes;      /* of its value as last written, and an estimate of what came since */
+    struct ow_write *queued;
+    struct ow_group *after; /* chunks moved there: it must be written first, or they would be nowhere */
+};
+
 struct ow_run {
     struct ow_job *job;
     struct ow_task *tasks;
@@ -163,7 +176,8 @@
     bool *entitled, *borrows; /* by team index, of the pass at hand */
 
     struct ow_recorder *recorder;
-    bool dirty; /* a scheduling pass is due */
+    GPtrArray *groups; /* struct ow_group */
+    bool dirty;        /* a scheduling pass is due */
     double pass_at;
 
     struct ow_bucket cloud;
@@ -192,6 +206,8 @@
                                   struct ow_machine *machine, uint64_t session);
 /* Proof is there that the attempt is gone, or no launch of it ever left. */
 void ow_attempt_end(struct ow_lead *lead, struct ow_attempt *attempt, enum ow_cause cause, const char *proof);
+/* Takes back what an outdated record said. */
+void ow_attempt_unload(struct ow_lead *lead, struct ow_attempt *attempt);
 void ow_attempt_stop(struct ow_lead *lead, struct ow_attempt *attempt, double grace_s, const char *why);
 /* Stops all attempts of a run in one round. */
 void ow_run_stop(struct ow_lead *lead, struct ow_run *run, double grace_s, const char *why);
@@ -240,12 +256,24 @@
 struct ow_recorder *ow_recorder_new(struct ow_lead *lead);
 void ow_recorder_free(struct ow_recorder *recorder);
 void ow_recorder_chunk(struct ow_lead *lead, struct ow_run *run, uint32_t task, bool launching);
-/* Writes how the job ended, and drops its progress. */
+/* Writes how the job ended; behind that its progress means nothing. */
 void ow_recorder_finish(struct ow_lead *lead, struct ow_run *run);
-void ow_recorder_drop(struct ow_lead *lead, const char *key, uint64_t version);
+/* Writes a group again at leisure: it holds what is over. */
+void ow_recorder_tidy(struct ow_lead *lead, struct ow_group *group);
 void ow_recorder_tick(struct ow_lead *lead);
 void ow_recorder_forget(struct ow_lead *lead, const struct ow_run *run);
 
+/* pack.c */
+struct ow_group *ow_pack_find(const struct ow_lead *lead, uint32_t number);
+struct ow_group *ow_pack_get(struct ow_lead *lead, uint32_t number);
+void ow_pack_add(struct ow_group *group, struct ow_chunk *chunk);
+void ow_pack_join(struct ow_lead *lead, struct ow_chunk *chunk);
+/* The group that it has left, or NULL. */
+struct ow_group *ow_pack_leave(struct ow_chunk *chunk);
+/* The group's value. What does not fit moves to another group, which must be written first. */
+char *ow_pack_value(struct ow_lead *lead, struct ow_group *group, struct ow_group **moved);
+void ow_group_free(void *group);
+
 /* takeover.c */
 void ow_takeover_tick(struct ow_lead *lead);
 
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -117,12 +117,13 @@
            lead->node->now - run->came_at < DEAR_WAIT_S;
 }
 
-/* Whether no class with aims has proper use for such machines: they cost what work without aims is not worth
-   while there are cheaper ones of their type. */
+/* Whether classes have aims, and none of them has proper use for such machines: they cost what work without aims
+   is not worth while there are cheaper ones of their type. */
 static bool dear(const struct ow_lead *lead, const struct ow_machine *m)
 {
     const struct ow_machine_type *type = ow_machine_spec(lead, m);
-    if (m->spot || type->spot_price <= 0 || type->spot_price >= type->price)
+    if (m->spot || type->spot_price <= 0 || type->spot_price >= type->price ||
+        lead->node->settings->objectives->len == 0)
         return false;
     for (guint i = 0; i < lead->node->classes->len; i++) {
         const struct ow_class *c = &g_array_index(lead->node->classes, struct ow_class, i);
--- a/src/core/recorder.c
+++ b/src/core/recorder.c
@@ -9,25 +9,24 @@
 
 #include <string.h>
 
-enum { TXN_BYTES = 56 * 1024, KEY_BYTES = 120 };
-/* Progress alone may wait so long for company; the rest goes out at once. */
-static const double LAZY_S = 1.5, RETRY_S = 0.2;
+enum { TXN_BYTES = 60 * 1024, KEY_BYTES = 120 };
+/* Progress alone may wait so long for company, and values that hold what is over; the rest goes out at once.
+ */
+static const double LAZY_S = 1.5, TIDY_S = 10, RETRY_S = 0.2;
 
-enum write_kind { WRITE_CHUNK, WRITE_FINISH, WRITE_DROP };
+enum write_kind { WRITE_GROUP, WRITE_FINISH };
 
-struct write {
+struct ow_write {
     enum write_kind kind;
-    struct ow_run *run;     /* chunk, finish; NULL once the run is gone */
-    struct ow_chunk *chunk; /* chunk */
-    char *key;              /* drop */
-    uint64_t version;       /* drop */
+    struct ow_run *run;     /* finish; NULL once the run is gone */
+    struct ow_group *group; /* group */
     double due_at;
     int order;
 };
 
 struct ow_recorder {
-    GPtrArray *queue; /* struct write, waiting */
-    GPtrArray *sent;  /* struct write, in the transaction under way */
+    GPtrArray *queue; /* struct ow_write, waiting */
+    GPtrArray *sent;  /* struct ow_write, in the transaction under way */
     bool busy;
     uint64_t serial;
     unsigned checking; /* reads of versions under way; nothing is written meanwhile */
@@ -35,19 +34,12 @@
     struct ow_bucket changes;
 };
 
-static void write_free(void *item)
-{
-    struct write *w = item;
-    g_free(w->key);
-    g_free(w);
-}
-
 struct ow_recorder *ow_recorder_new(struct ow_lead *lead)
 {
     struct ow_recorder *r = g_new0(struct ow_recorder, 1);
     double rate = lead->node->settings->state_write_rps;
-    r->queue = g_ptr_array_new_with_free_func(write_free);
-    r->sent = g_ptr_array_new_with_free_func(write_free);
+    r->queue = g_ptr_array_new_with_free_func(g_free);
+    r->sent = g_ptr_array_new_with_free_func(g_free);
     /* A share is left for submissions and withdrawals, which any controller writes. */
     ow_bucket_init(&r->changes, 0.8 * rate, 0.7 * rate, lead->node->now);
     return r;
@@ -60,19 +52,9 @@
     g_free(r);
 }
 
-static struct write *find_write(const struct ow_recorder *r, enum write_kind kind, const void *what)
-{
-    for (guint i = 0; i < r->queue->len; i++) {
-        struct write *w = g_ptr_array_index(r->queue, i);
-        if (w->kind == kind && (kind == WRITE_CHUNK ? (const void *)w->chunk : (const void *)w->run) == what)
-            return w;
-    }
-    return NULL;
-}
-
-static struct write *enqueue(struct ow_recorder *r, enum write_kind kind)
+static struct ow_write *enqueue(struct ow_recorder *r, enum write_kind kind)
 {
-    struct write *w = g_new0(struct write, 1);
+    struct ow_write *w = g_new0(struct ow_write, 1);
     w->kind = kind;
     g_ptr_array_add(r->queue, w);
     return w;
@@ -83,121 +65,108 @@
     return 10 + (int)run->job->spec->submission->rank * 10;
 }
 
-enum { ORDER_FINISH = 5, ORDER_LAZY = 100, ORDER_DROP = 200 };
+enum { ORDER_FINISH = 5, ORDER_LAZY = 100, ORDER_TIDY = 200 };
+
+static void enqueue_group(struct ow_recorder *r, struct ow_group *g, int order, double due_at)
+{
+    if (g->queued == NULL) {
+        g->queued = enqueue(r, WRITE_GROUP);
+        g->queued->group = g;
+        g->queued->order = order;
+        g->queued->due_at = due_at;
+    }
+    g->queued->order = MIN(g->queued->order, order);
+    g->queued->due_at = MIN(g->queued->due_at, due_at);
+}
 
 void ow_recorder_chunk(struct ow_lead *lead, struct ow_run *run, uint32_t task, bool launching)
 {
-    struct ow_recorder *r = lead->recorder;
     struct ow_chunk *chunk = &run->chunks[task / OW_CHUNK_TASKS];
+    double now = lead->node->now;
     if (ow_job_over(run->job) || run->finishing)
         return;
-    struct write *w = chunk->dirty ? find_write(r, WRITE_CHUNK, chunk) : NULL;
-    if (w == NULL) {
-        w = enqueue(r, WRITE_CHUNK);
-        w->run = run;
-        w->chunk = chunk;
-        w->order = ORDER_LAZY;
-        w->due_at = lead->node->now + LAZY_S;
-        chunk->dirty = true;
-    }
-    if (launching) {
-        w->order = MIN(w->order, launch_order(run));
-        w->due_at = lead->node->now;
-    }
+    if (chunk->group == NULL)
+        ow_pack_join(lead, chunk);
+    chunk->dirty = true;
+    enqueue_group(lead->recorder, chunk->group, launching ? launch_order(run) : ORDER_LAZY,
+                  launching ? now : now + LAZY_S);
 }
 
 void ow_recorder_finish(struct ow_lead *lead, struct ow_run *run)
 {
-    struct ow_recorder *r = lead->recorder;
     if (run->finishing)
         return;
     run->finishing = true;
-    /* The final record drops the progress: the same key must not be written beside it. */
-    for (guint i = r->queue->len; i > 0; i--)
-        if (((struct write *)g_ptr_array_index(r->queue, i - 1))->run == run)
-            g_ptr_array_remove_index(r->queue, i - 1);
-    for (uint32_t i = 0; i < run->chunk_count; i++)
-        run->chunks[i].dirty = false;
-    struct write *w = enqueue(r, WRITE_FINISH);
+    struct ow_write *w = enqueue(lead->recorder, WRITE_FINISH);
     w->run = run;
-    w->order = run->job->stance == OW_CANCELLED ? ORDER_DROP : ORDER_FINISH;
+    w->order = run->job->stance == OW_CANCELLED ? ORDER_TIDY : ORDER_FINISH;
     w->due_at = lead->node->now;
 }
 
-void ow_recorder_drop(struct ow_lead *lead, const char *key, uint64_t version)
+void ow_recorder_tidy(struct ow_lead *lead, struct ow_group *group)
 {
-    struct write *w = enqueue(lead->recorder, WRITE_DROP);
-    w->key = g_strdup(key);
-    w->version = version;
-    w->order = ORDER_DROP;
-    w->due_at = lead->node->now;
+    enqueue_group(lead->recorder, group, ORDER_TIDY, lead->node->now + TIDY_S);
 }
 
 void ow_recorder_forget(struct ow_lead *lead, const struct ow_run *run)
 {
     struct ow_recorder *r = lead->recorder;
     for (guint i = r->queue->len; i > 0; i--)
-        if (((struct write *)g_ptr_array_index(r->queue, i - 1))->run == run)
+        if (((struct ow_write *)g_ptr_array_index(r->queue, i - 1))->run == run)
             g_ptr_array_remove_index(r->queue, i - 1);
     for (guint i = 0; i < r->sent->len; i++) {
-        struct write *w = g_ptr_array_index(r->sent, i);
+        struct ow_write *w = g_ptr_array_index(r->sent, i);
         if (w->run == run)
             w->run = NULL;
     }
+    for (uint32_t i = 0; i < run->chunk_count; i++) {
+        struct ow_group *g = ow_pack_leave(&run->chunks[i]);
+        if (g != NULL)
+            ow_recorder_tidy(lead, g);
+    }
 }
 
-static char *chunk_key(const struct ow_chunk *chunk)
-{
-    return g_strdup_printf("%s%s/%u", OW_KEY_PROGRESS, chunk->job->id, chunk->index);
-}
-
-static gint by_place(gconstpointer a, gconstpointer b)
+static char *group_key(const struct ow_group *g)
 {
-    const struct ow_live_record *x = a, *y = b;
-    int machines = strcmp(x->machine, y->machine);
-    if (machines != 0)
-        return machines;
-    if (x->session != y->session)
-        return x->session < y->session ? -1 : 1;
-    return x->task < y->task ? -1 : x->task > y->task;
+    return g_strdup_printf("%s%u", OW_KEY_PROGRESS, g->number);
 }
 
-static char *chunk_value(const struct ow_run *run, const struct ow_chunk *chunk, uint64_t serial)
+/* Marks what the value that is being written says. */
+static void mark_written(struct ow_group *g, uint64_t serial)
 {
-    struct ow_progress_record record = {
-        .last_attempt = chunk->last_attempt,
-        .done = g_array_new(FALSE, FALSE, sizeof(uint32_t)),
-        .live = g_array_new(FALSE, FALSE, sizeof(struct ow_live_record)),
-    };
-    uint32_t first = chunk->index * OW_CHUNK_TASKS, end = MIN(run->count, first + OW_CHUNK_TASKS);
-    for (uint32_t task = first; task < end; task++) {
-        struct ow_attempt *at = run->tasks[task].attempt;
-        if (run->tasks[task].done)
-            g_array_append_val(record.done, task);
-        if (at == NULL)
-            continue;
-        struct ow_live_record live = {task, at->number, at->machine->name, at->session};
-        g_array_append_val(record.live, live);
-        if (at->state == OW_AT_PLANNED)
-            at->in_write = serial;
+    for (guint i = 0; i < g->chunks->len; i++) {
+        struct ow_chunk *chunk = g_ptr_array_index(g->chunks, i);
+        const struct ow_run *run = chunk->job->run;
+        chunk->writing = chunk->writing || chunk->dirty;
+        chunk->dirty = false;
+        for (guint k = 0; k < run->attempts->len; k++) {
+            struct ow_attempt *at = g_ptr_array_index(run->attempts, k);
+            if (at->state == OW_AT_PLANNED && at->task / OW_CHUNK_TASKS == chunk->index)
+                at->in_write = serial;
+        }
     }
-    g_array_sort(record.live, by_place);
-    char *value = wire_progress_record(&record);
-    wire_progress_record_clear(&record);
-    return value;
 }
 
-static void put_chunk(struct ow_recorder *r, struct write *w, struct ow_store_request *txn)
+static void put_group(struct ow_lead *lead, struct ow_write *w, struct ow_store_request *txn)
 {
-    char *key = chunk_key(w->chunk);
-    w->chunk->dirty = false;
-    w->chunk->writing = true;
-    ow_store_expect(txn, key, w->chunk->version);
-    ow_store_write(txn, key, chunk_value(w->run, w->chunk, r->serial), 0);
+    struct ow_group *g = w->group, *moved = NULL;
+    char *key = group_key(g), *value = ow_pack_value(lead, g, &moved);
+    if (moved != NULL) {
+        /* Its old value still has what has moved: it must not be replaced before that is written. */
+        g->after = moved;
+        g_free(value);
+        enqueue_group(lead->recorder, moved, w->order, w->due_at);
+        enqueue_group(lead->recorder, g, w->order, w->due_at);
+    } else {
+        mark_written(g, lead->recorder->serial);
+        ow_store_expect(txn, key, g->version);
+        ow_store_write(txn, key, value, 0);
+        g_ptr_array_add(lead->recorder->sent, g_memdup2(w, sizeof *w));
+    }
     g_free(key);
 }
 
-static void put_finish(struct ow_lead *lead, struct write *w, struct ow_store_request *txn)
+static void put_finish(struct ow_lead *lead, struct ow_write *w, struct ow_store_request *txn)
 {
     const struct ow_job *job = w->run->job;
     struct ow_job_record record = {.stance = job->stance == OW_CANCELLED ? OW_CANCELLED : OW_DONE};
@@ -205,31 +174,12 @@
     ow_store_expect(txn, key, job->version);
     ow_store_write(txn, key, wire_job_record(&record), 0);
     g_free(key);
-    for (uint32_t i = 0; i < w->run->chunk_count; i++) {
-        struct ow_chunk *chunk = &w->run->chunks[i];
-        if (chunk->version == 0)
-            continue;
-        char *progress = chunk_key(chunk);
-        /* Behind a final record progress means nothing; what does not fit is dropped later. */
-        if (txn->changes->len < lead->node->settings->txn_ops) {
-            ow_store_expect(txn, progress, chunk->version);
-            ow_store_write(txn, progress, NULL, 0);
-        } else {
-            ow_recorder_drop(lead, progress, chunk->version);
-        }
-        g_free(progress);
-    }
-}
-
-static void put_drop(struct write *w, struct ow_store_request *txn)
-{
-    ow_store_expect(txn, w->key, w->version);
-    ow_store_write(txn, w->key, NULL, 0);
+    g_ptr_array_add(lead->recorder->sent, g_memdup2(w, sizeof *w));
 }
 
 static gint by_order(gconstpointer a, gconstpointer b)
 {
-    const struct write *x = *(const struct write *const *)a, *y = *(const struct write *const *)b;
+    const struct ow_write *x = *(const struct ow_write *const *)a, *y = *(const struct ow_write *const *)b;
     if (x->order != y->order)
         return x->order < y->order ? -1 : 1;
     return x->due_at < y->due_at ? -1 : x->due_at > y->due_at;
@@ -245,48 +195,67 @@
     return bytes;
 }
 
+/* Whether the write has to wait: for company, or for the group that its chunks moved to. With room to spare
+   nothing gains by waiting longer; urgent writes take the others along. */
+static bool must_wait(const struct ow_write *w, double now, bool spare)
+{
+    if (w->kind == WRITE_GROUP && w->group->after != NULL)
+        return true;
+    return w->due_at > now && !(spare && w->due_at - now < LAZY_S / 2);
+}
+
 /* The writes that go out now, taken from the queue. */
 static void choose(struct ow_lead *lead, struct ow_store_request *txn)
 {
     struct ow_recorder *r = lead->recorder;
     double now = lead->node->now;
     guint most = (guint)MIN((double)lead->node->settings->txn_ops, ow_bucket_level(&r->changes, now));
+    size_t value = (size_t)(lead->node->settings->value_kb * 1024);
     bool spare = ow_bucket_level(&r->changes, now) > 0.8 * r->changes.depth;
     g_ptr_array_sort(r->queue, by_order);
-    for (guint i = 0; i < r->queue->len && txn->changes->len < most && txn_bytes(txn) < TXN_BYTES / 2;) {
-        struct write *w = g_ptr_array_index(r->queue, i);
-        /* With room to spare nothing gains by waiting longer; urgent writes take the others along. */
-        if (w->due_at > now && !(spare && w->due_at - now < LAZY_S / 2)) {
+    for (guint i = 0; i < r->queue->len && txn->changes->len < most &&
+                      (txn->changes->len == 0 || txn_bytes(txn) + value < TXN_BYTES);) {
+        struct ow_write *w = g_ptr_array_index(r->queue, i);
+        if (must_wait(w, now, spare)) {
             i++;
             continue;
         }
         g_ptr_array_steal_index(r->queue, i);
-        g_ptr_array_add(r->sent, w);
-        if (w->kind == WRITE_CHUNK)
-            put_chunk(r, w, txn);
-        else if (w->kind == WRITE_FINISH)
+        if (w->kind == WRITE_GROUP) {
+            w->group->queued = NULL;
+            put_group(lead, w, txn);
+        } else {
             put_finish(lead, w, txn);
-        else
-            put_drop(w, txn);
+        }
+        g_free(w);
     }
 }
 
-static void commit_chunk(struct ow_lead *lead, struct write *w, uint64_t revision)
+static void commit_group(struct ow_lead *lead, const struct ow_write *w, uint64_t revision)
 {
-    struct ow_recorder *r = lead->recorder;
-    w->chunk->version = revision;
-    w->chunk->writing = false;
-    for (guint i = 0; i < w->run->attempts->len; i++) {
-        struct ow_attempt *at = g_ptr_array_index(w->run->attempts, i);
-        if (at->state == OW_AT_PLANNED && at->in_write == r->serial &&
-            at->task / OW_CHUNK_TASKS == w->chunk->index) {
-            at->state = OW_AT_COMMITTED;
-            at->machine->direct_wanted = true;
+    struct ow_group *g = w->group;
+    g->version = revision;
+    for (guint i = 0; i < lead->groups->len; i++) {
+        struct ow_group *other = g_ptr_array_index(lead->groups, i);
+        if (other->after == g)
+            other->after = NULL;
+    }
+    for (guint i = 0; i < g->chunks->len; i++) {
+        struct ow_chunk *chunk = g_ptr_array_index(g->chunks, i);
+        const struct ow_run *run = chunk->job->run;
+        chunk->writing = false;
+        for (guint k = 0; k < run->attempts->len; k++) {
+            struct ow_attempt *at = g_ptr_array_index(run->attempts, k);
+            if (at->state == OW_AT_PLANNED && at->in_write == lead->recorder->serial &&
+                at->task / OW_CHUNK_TASKS == chunk->index) {
+                at->state = OW_AT_COMMITTED;
+                at->machine->direct_wanted = true;
+            }
         }
     }
 }
 
-static void commit_finish(struct ow_lead *lead, struct write *w, uint64_t revision)
+static void commit_finish(struct ow_lead *lead, const struct ow_write *w, uint64_t revision)
 {
     struct ow_job *job = w->run->job;
     if (!ow_job_over(job))
@@ -301,11 +270,11 @@
     struct ow_recorder *r = lead->recorder;
     GPtrArray *sent = r->sent;
     /* Detached: a finished run takes its other writes with it. */
-    r->sent = g_ptr_array_new_with_free_func(write_free);
+    r->sent = g_ptr_array_new_with_free_func(g_free);
     for (guint i = 0; i < sent->len; i++) {
-        struct write *w = g_ptr_array_index(sent, i);
-        if (w->kind == WRITE_CHUNK && w->run != NULL)
-            commit_chunk(lead, w, revision);
+        const struct ow_write *w = g_ptr_array_index(sent, i);
+        if (w->kind == WRITE_GROUP)
+            commit_group(lead, w, revision);
         else if (w->kind == WRITE_FINISH && w->run != NULL)
             commit_finish(lead, w, revision);
     }
@@ -328,20 +297,12 @@
     lead->recorder->checking--;
     uint64_t version =
         status == 200 ? g_array_index(answer->store.items, struct ow_store_item, 0).version : 0;
-    for (guint i = 0; i < lead->recorder->queue->len; i++) {
-        struct write *w = g_ptr_array_index(lead->recorder->queue, i);
-        if (w->kind == WRITE_DROP && strcmp(w->key, key) == 0)
-            w->version = version;
-    }
-    for (guint i = 0; i < lead->runs->len; i++) {
-        struct ow_run *run = g_ptr_array_index(lead->runs, i);
-        for (uint32_t c = 0; c < run->chunk_count; c++) {
-            char *other = chunk_key(&run->chunks[c]);
-            if (strcmp(other, key) == 0)
-                run->chunks[c].version = version;
-            g_free(other);
-        }
-    }
+    guint64 number = 0;
+    struct ow_group *g = NULL;
+    if (g_ascii_string_to_unsigned(key + strlen(OW_KEY_PROGRESS), 10, 0, UINT32_MAX, &number, NULL))
+        g = ow_pack_find(lead, (uint32_t)number);
+    if (g != NULL)
+        g->version = version;
 }
 
 static void on_job_fresh(struct ow_node *node, void *data, bool ok)
@@ -368,22 +329,29 @@
     }
 }
 
+static void put_group_back(struct ow_lead *lead, const struct ow_write *w)
+{
+    for (guint i = 0; i < w->group->chunks->len; i++) {
+        struct ow_chunk *chunk = g_ptr_array_index(w->group->chunks, i);
+        chunk->dirty = chunk->dirty || chunk->writing;
+        chunk->writing = false;
+    }
+    enqueue_group(lead->recorder, w->group, w->order, w->due_at);
+}
+
 /* Puts everything back in line: a record is made anew from the state at the time it is written. */
 static void put_back(struct ow_lead *lead)
 {
     struct ow_recorder *r = lead->recorder;
     GPtrArray *sent = r->sent;
-    r->sent = g_ptr_array_new_with_free_func(write_free);
+    r->sent = g_ptr_array_new_with_free_func(g_free);
     for (guint i = 0; i < sent->len; i++) {
-        struct write *w = g_ptr_array_index(sent, i);
-        if (w->kind == WRITE_CHUNK && w->run != NULL) {
-            w->chunk->writing = false;
-            ow_recorder_chunk(lead, w->run, w->chunk->index * OW_CHUNK_TASKS, w->order < ORDER_LAZY);
-        } else if (w->kind == WRITE_FINISH && w->run != NULL) {
+        const struct ow_write *w = g_ptr_array_index(sent, i);
+        if (w->kind == WRITE_GROUP) {
+            put_group_back(lead, w);
+        } else if (w->run != NULL) {
             w->run->finishing = false; /* the scheduling pass finishes it again, if that is still so */
             lead->dirty = true;
-        } else if (w->kind == WRITE_DROP) {
-            ow_recorder_drop(lead, w->key, w->version);
         }
     }
     g_ptr_array_free(sent, TRUE);
--- a/src/core/records.h
+++ b/src/core/records.h
@@ -3,7 +3,8 @@
  *   coordinator      who leads; tethered to a short lease
  *   types            the machine types last seen
  *   j/<id>           a job: its submission, or how it ended (a tombstone, kept forever)
- *   p/<id>/<chunk>   progress of a run of tasks: what is done, which attempts may exist, and where
+ *   p/<number>       progress of runs of tasks, several in one value, by "<id>/<chunk>": what is done, which
+ *                    attempts may exist, and where. Of a record found in two values the newer value's counts
  */
 #ifndef OW_CORE_RECORDS_H
 #define OW_CORE_RECORDS_H
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -166,6 +166,12 @@
     run->cursor = MIN(run->cursor, at->task);
 }
 
+void ow_attempt_unload(struct ow_lead *lead, struct ow_attempt *at)
+{
+    detach(lead, at);
+    g_free(at);
+}
+
 static void mark_done(struct ow_run *run, uint32_t task)
 {
     if (run->tasks[task].done)
--- a/src/core/takeover.c
+++ b/src/core/takeover.c
@@ -2,6 +2,7 @@
 #include "core/lead_state.h"
 #include "core/records.h"
 #include "core/replica.h"
+#include "wire/json.h"
 #include "wire/records_json.h"
 
 #include <string.h>
@@ -22,27 +23,29 @@
     }
 }
 
-static void load_progress(struct ow_lead *lead, const struct ow_store_item *item)
+/* A record found in two values: it moved, and the older one was not written again. Attempts of the older one
+   were all recorded by the newer one if they were still there. */
+static bool is_newer(struct ow_lead *lead, struct ow_run *run, struct ow_chunk *chunk, uint64_t version)
 {
-    char **parts = g_strsplit(item->key + strlen(OW_KEY_PROGRESS), "/", 2);
-    struct ow_job *job = parts[0] != NULL ? ow_jobs_find(lead->node->jobs, parts[0]) : NULL;
-    struct ow_progress_record record;
-    guint64 index = 0;
-    bool ok = parts[0] != NULL && parts[1] != NULL &&
-              g_ascii_string_to_unsigned(parts[1], 10, 0, OW_MAX_TASKS, &index, NULL);
-    g_strfreev(parts);
-    if (!ok || job == NULL || job->spec == NULL) {
-        /* What a final record has left behind. */
-        ow_recorder_drop(lead, item->key, item->version);
-        return;
+    if (chunk->group == NULL)
+        return true;
+    if (chunk->version >= version)
+        return false;
+    ow_recorder_tidy(lead, ow_pack_leave(chunk));
+    for (guint i = run->attempts->len; i > 0; i--) {
+        struct ow_attempt *at = g_ptr_array_index(run->attempts, i - 1);
+        if (at->task / OW_CHUNK_TASKS == chunk->index)
+            ow_attempt_unload(lead, at);
     }
-    struct ow_run *run = ow_run_get(lead, job);
-    if (index >= run->chunk_count)
-        return;
-    if (!wire_progress_record_parse(item->value, &record))
-        g_warning("progress record %s cannot be read in full", item->key);
-    run->chunks[index].version = item->version;
-    run->chunks[index].last_attempt = record.last_attempt;
+    return true;
+}
+
+static void load_record(struct ow_lead *lead, struct ow_run *run, struct ow_chunk *chunk, const json_t *value)
+{
+    struct ow_progress_record record;
+    if (!wire_progress_record_parse(value, &record))
+        g_warning("a progress record of job %s cannot be read in full", run->job->id);
+    chunk->last_attempt = MAX(chunk->last_attempt, record.last_attempt);
     for (guint i = 0; i < record.done->len; i++) {
         uint32_t task = g_array_index(record.done, uint32_t, i);
         if (task < run->count && !run->tasks[task].done) {
@@ -54,6 +57,42 @@
     wire_progress_record_clear(&record);
 }
 
+/* False when the record is of no use any more: what a final record has left behind. */
+static bool load_named(struct ow_lead *lead, struct ow_group *g, const char *name, const json_t *value)
+{
+    uint32_t index = 0;
+    char *id = wire_progress_name_parse(name, &index);
+    struct ow_job *job = id != NULL ? ow_jobs_find(lead->node->jobs, id) : NULL;
+    g_free(id);
+    if (job == NULL || job->spec == NULL)
+        return false;
+    struct ow_run *run = ow_run_get(lead, job);
+    if (index >= run->chunk_count || !is_newer(lead, run, &run->chunks[index], g->version))
+        return false;
+    run->chunks[index].version = g->version;
+    ow_pack_add(g, &run->chunks[index]);
+    load_record(lead, run, &run->chunks[index], value);
+    return true;
+}
+
+static void load_group(struct ow_lead *lead, const struct ow_store_item *item)
+{
+    guint64 number = 0;
+    if (!g_ascii_string_to_unsigned(item->key + strlen(OW_KEY_PROGRESS), 10, 0, UINT32_MAX, &number, NULL))
+        return;
+    struct ow_group *g = ow_pack_get(lead, (uint32_t)number);
+    const char *name;
+    json_t *value;
+    bool tidy = true;
+    g->version = item->version;
+    json_object_foreach(item->value, name, value)
+    {
+        tidy = load_named(lead, g, name, value) && tidy;
+    }
+    if (!tidy)
+        ow_recorder_tidy(lead, g);
+}
+
 /* Machines that the last coordinator told us of can be reached before any list names them. */
 static void use_hints(struct ow_lead *lead)
 {
@@ -89,7 +128,7 @@
         return;
     }
     for (guint i = 0; i < reply->items->len; i++)
-        load_progress(lead, &g_array_index(reply->items, struct ow_store_item, i));
+        load_group(lead, &g_array_index(reply->items, struct ow_store_item, i));
     if (reply->more && reply->items->len > 0) {
         const struct ow_store_item *last =
             &g_array_index(reply->items, struct ow_store_item, reply->items->len - 1);
--- a/src/wire/records_json.c
+++ b/src/wire/records_json.c
@@ -196,6 +196,27 @@
     g_array_free(record->live, TRUE);
 }
 
+void wire_progress_group_add(GString *text, const char *job, uint32_t chunk, const char *record)
+{
+    /* Ids of jobs need no escaping: they are checked at the door. */
+    g_string_append_printf(text, "%c\"%s/%u\":%s", text->len == 0 ? '{' : ',', job, chunk, record);
+}
+
+void wire_progress_group_end(GString *text)
+{
+    g_string_append(text, text->len == 0 ? "{}" : "}");
+}
+
+char *wire_progress_name_parse(const char *name, uint32_t *chunk)
+{
+    const char *slash = strrchr(name, '/');
+    guint64 index = 0;
+    if (slash == NULL || !g_ascii_string_to_unsigned(slash + 1, 10, 0, OW_MAX_TASKS, &index, NULL))
+        return NULL;
+    *chunk = (uint32_t)index;
+    return g_strndup(name, (gsize)(slash - name));
+}
+
 char *wire_coordinator_record(const char *node, const char *nonce)
 {
     return take_text(json_pack("{s:s,s:s}", F_NODE, node, F_NONCE, nonce));
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -293,8 +293,8 @@
     assert_true(world_until(w, 120, world_all_done, "run-1"));
     /* Progress is gone with the job. */
     world_run(w, 3);
-    assert_null(world_value_text(w, "p/run-1/0"));
-    assert_null(world_value_text(w, "p/run-1/2"));
+    assert_null(world_progress(w, "run-1/0"));
+    assert_null(world_progress(w, "run-1/2"));
     end_world(w);
 }
 
--- a/tests/test_safety.c
+++ b/tests/test_safety.c
@@ -244,8 +244,11 @@
     world_report(w, node, m, m->seq + 1, token);
     world_submit(w, node, world_job("run-2", 1, 1));
     world_run(w, 3);
-    assert_non_null(strstr(world_value_text(w, "p/run-1/0"), m->name));
-    assert_null(world_value_text(w, "p/run-2/0"));
+    char *first = world_progress(w, "run-1/0");
+    assert_non_null(first);
+    assert_non_null(strstr(first, m->name));
+    assert_null(world_progress(w, "run-2/0"));
+    g_free(first);
     end_world(w);
 }
 
@@ -268,7 +271,7 @@
     w->keep_held = false;
     world_run(w, 1);
     assert_int_equal(w->held->len, 0);
-    assert_null(world_value_text(w, "p/run-1/0"));
+    assert_null(world_progress(w, "run-1/0"));
     end_world(w);
 }
 
@@ -289,11 +292,13 @@
     m->gone = true;
     g_array_set_size(m->tasks, 0);
     assert_true(world_until(w, 60, runs_on_another, m));
-    char *before = g_strdup(world_value_text(w, "p/run-1/0"));
+    char *before = world_progress(w, "run-1/0");
     w->keep_held = false;
     world_run(w, 0.2);
     assert_int_equal(w->held->len, 0);
-    assert_string_equal(world_value_text(w, "p/run-1/0"), before);
+    char *after = world_progress(w, "run-1/0");
+    assert_string_equal(after, before);
+    g_free(after);
     g_free(before);
     end_world(w);
 }
--- a/tests/world.c
+++ b/tests/world.c
@@ -1068,6 +1068,23 @@
     return world_running(w, job) == 0;
 }
 
+char *world_progress(struct world *w, const char *name)
+{
+    GHashTableIter iter;
+    void *key, *value;
+    char *found = NULL;
+    g_hash_table_iter_init(&iter, w->keys);
+    while (found == NULL && g_hash_table_iter_next(&iter, &key, &value)) {
+        if (!g_str_has_prefix(key, OW_KEY_PROGRESS))
+            continue;
+        json_t *group = json_loads(((struct world_value *)value)->text, 0, NULL);
+        json_t *record = json_object_get(group, name);
+        found = record != NULL ? wj_text(record) : NULL;
+        json_decref(group);
+    }
+    return found;
+}
+
 bool world_all_done(struct world *w, const void *job)
 {
     char *key = g_strconcat(OW_KEY_JOBS, job, NULL);
--- a/tests/world.h
+++ b/tests/world.h
@@ -113,6 +113,8 @@
 bool world_all_done(struct world *w, const void *job);
 bool world_some_running(struct world *w, const void *job);
 bool world_none_running(struct world *w, const void *job);
+/* The progress record "<job>/<chunk>" wherever it stands, to be freed; NULL: there is none. */
+char *world_progress(struct world *w, const char *name);
 const char *world_value_text(struct world *w, const char *key);
 
 #endif
