--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -119,7 +119,7 @@
     const struct ow_job *failed_job; /* the last of them */
     unsigned quarantines;
     double quarantine_until;
-    bool gpus_kept;  /* a cheap machine whose GPUs waiting work needs: not for work without need of them */
+    bool gpus_kept;  /* waiting work needs its GPUs: not for work without need of them */
     double slowness; /* run time against the estimate's, as seen; 1: as expected */
     double idle_since;
     bool draining, deleting;
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -53,9 +53,10 @@
     double gpus = type->size.gpus - taken.gpus;
     double cpus = type->size.cpus - taken.cpus;
     double memory = type->size.memory_gb - taken.memory_gb;
-    if (need->gpus <= 0 && gpus > 0 &&
-        (!m->spot || m->gpus_kept || (int)spec->submission->rank >= lead->gpu_rank))
-        /* Room that the machine's free GPUs need to be of use to work at least as urgent. */
+    bool urgent = (int)spec->submission->rank < lead->gpu_rank;
+    if (need->gpus <= 0 && gpus > 0 && (m->gpus_kept || (urgent && !m->spot)))
+        /* Room that the machine's free GPUs need to be of use to other work, or are too dear to be without.
+         */
         cpus -= gpus * lead->gpu_cpus;
     double slots = MIN(MIN(fit(cpus, need->cpus), fit(gpus, need->gpus)), fit(memory, need->memory_gb));
     return slots <= 0 ? 0 : (uint32_t)slots;
@@ -117,8 +118,8 @@
            lead->node->now - run->came_at < DEAR_WAIT_S;
 }
 
-/* Whether classes have aims, and none of them has proper use for such machines: they cost what work without aims
-   is not worth while there are cheaper ones of their type. */
+/* Whether classes have aims, and none of them has proper use for such machines: they cost what work without
+   aims is not worth while there are cheaper ones of their type. */
 static bool dear(const struct ow_lead *lead, const struct ow_machine *m)
 {
     const struct ow_machine_type *type = ow_machine_spec(lead, m);
--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -34,6 +34,9 @@
     }
 }
 
+/* What is kept for GPU work beyond what it needs now. */
+static const double GPU_MARGIN = 1.2;
+
 /* GPUs that get through the work of GPU jobs in the time that their classes leave to wait. */
 static double gpus_wanted(struct ow_lead *lead)
 {
@@ -46,7 +49,7 @@
         if (gpus > 0 && !ow_job_over(run->job))
             wanted += gpus * MIN(1, ow_class_run_s(lead->node, spec) / slack);
     }
-    return wanted;
+    return GPU_MARGIN * wanted;
 }
 
 /* How well a machine serves GPU work: 2, it does so now; 1, it is free of other work; 0, it is not. */
@@ -62,7 +65,7 @@
     return fitness;
 }
 
-/* More urgent work may fill cheap GPU machines, but for those that GPU work needs: it would else be driven to
+/* Other work may fill GPU machines, but for those that GPU work needs: it would else wait or be driven to
    dear ones. */
 static void keep_gpus(struct ow_lead *lead)
 {
@@ -71,7 +74,7 @@
         for (guint i = 0; i < lead->machines->len; i++) {
             struct ow_machine *m = g_ptr_array_index(lead->machines, i);
             const struct ow_machine_type *type = ow_machine_spec(lead, m);
-            if (!m->spot || type == NULL || type->size.gpus <= 0 || gpu_fitness(m) != fitness)
+            if (type == NULL || type->size.gpus <= 0 || gpu_fitness(m) != fitness)
                 continue;
             m->gpus_kept = wanted > 0;
             wanted -= type->size.gpus;
