--- a/src/core/book.c
+++ b/src/core/book.c
@@ -17,7 +17,7 @@
     m->name = g_strdup(name);
     m->type = m->zone = OW_NO_NAME;
     m->slowness = 1;
-    m->rented_at = m->idle_since = lead->node->now;
+    m->rented_at = m->idle_since = m->met_at = lead->node->now;
     m->attempts = g_ptr_array_new();
     m->direct_starts = g_array_new(FALSE, FALSE, sizeof(struct ow_floating));
     m->floating = g_array_new(FALSE, FALSE, sizeof(struct ow_floating));
@@ -68,11 +68,12 @@
 bool ow_book_usable(const struct ow_lead *lead, const struct ow_machine *m)
 {
     double now = lead->node->now;
-    /* No launch before its report under our own token, nor on one that has fallen silent,
+    /* No launch before its report under our own token, nor on one that has fallen silent or does not hear us,
        is about to be taken, or is being returned. */
     return m->fenced && m->session > m->dead_session && ow_machine_spec(lead, m) != NULL && m->addr != NULL &&
-           now - m->seen_at < 2.5 * lead->node->settings->report_s && m->lost_at == 0 && !m->deleting &&
-           !m->draining && now >= m->quarantine_until;
+           now - m->seen_at < 2.5 * lead->node->settings->report_s && m->unheard_since == 0 &&
+           m->lost_at == 0 && !m->deleting && !m->draining &&
+           now >= MAX(m->quarantine_until, m->suspect_until);
 }
 
 bool ow_book_is_floating(const struct ow_machine *m, const struct ow_job *job, uint32_t task, uint64_t number)
--- a/src/core/care.c
+++ b/src/core/care.c
@@ -4,14 +4,20 @@
 static const double DRIFT = 0.002, MARGIN_S = 1.5;
 /* Recorded tasks on a machine that neither speaks nor is listed: by then it would have reported. */
 static const double UNKNOWN_S = 12;
-enum { ERRORS_TO_QUARANTINE = 2, RUN_FAILURES = 3 };
+/* A machine that reports but answers no order for so long does not hear us. */
+static const double DEAF_S = 10;
+/* How long a machine that failed a job is kept from it, and from everybody until another job tells which of
+   the two is at fault. */
+static const double BAD_S = 60, SUSPECT_S = 20;
+enum { ERRORS_TO_QUARANTINE = 2, RUN_FAILURES = 3, DEAF_FEW = 2 };
 
 /* Proof by time: a worker ends its tasks when lease_s has passed since it sent the last report that was
-   answered. Only answers of ours count once it has seen our token: no older one is accepted. */
+   answered. Only answers of ours count once it has seen our token: no older one is accepted. And that report
+   was sent before the newest message came that we have of the session: late copies renew nothing. */
 static void prove_by_lease(struct ow_lead *lead, struct ow_machine *m)
 {
     double lease = lead->node->settings->lease_s * (1 + DRIFT) + MARGIN_S;
-    double last = MAX(m->answered_at, m->fenced_at);
+    double last = MAX(m->seen_at, m->fenced_at);
     if (!m->fenced || m->session <= m->dead_session || lead->node->now < last + lease)
         return;
     g_info("machine %s: session %" G_GUINT64_FORMAT " has run out unanswered", m->name, m->session);
@@ -32,23 +38,60 @@
 static void pursue_silent(struct ow_lead *lead, struct ow_machine *m)
 {
     double now = lead->node->now;
-    double since = MAX(MAX(m->seen_at, m->reported_at), lead->ready_at);
+    double since = MAX(m->seen_at, lead->ready_at);
     if (m->listed == OW_LISTED_FAILED)
         ow_fleet_delete(lead, m, "it has failed");
     else if (m->lost_at > 0 && now > m->lost_at && now - since > 3)
         ow_fleet_delete(lead, m, "it was taken back");
     else if (m->seen_at == 0 && m->listed == OW_LISTED_NOT && m->attempts->len > 0 && now - since > UNKNOWN_S)
         ow_fleet_delete(lead, m, "its tasks are recorded, but nothing is heard or known of it");
-    else if (!m->fenced && m->attempts->len > 0 && now - since > lead->node->settings->lease_s + 5)
-        /* Its tasks have ended with its lease, unless an older coordinator feeds it: waiting gains nothing.
-         */
-        ow_fleet_delete(lead, m, "its tasks can't be accounted for");
     else if (overdue(lead, m) && now - lead->ready_at > 30)
         ow_fleet_delete(lead, m, "it does not come up");
     else if (m->seen_at != 0 && now - since > 3 * lead->node->settings->lease_s)
         ow_fleet_delete(lead, m, "it has been silent for too long");
 }
 
+/* Seconds since the machine should have heard us. */
+static double deaf_s(const struct ow_lead *lead, const struct ow_machine *m)
+{
+    if (!m->fenced)
+        return m->seen_at > 0 || m->attempts->len > 0 ? lead->node->now - MAX(m->met_at, lead->ready_at) : 0;
+    return m->unheard_since > 0 ? lead->node->now - m->unheard_since : 0;
+}
+
+/* A machine that does not hear us, whether or not it reports: reports alone are no sign of health. Its tasks
+   have ended with its lease, unless an older coordinator feeds it: waiting gains nothing. */
+static void pursue_deaf(struct ow_lead *lead, struct ow_machine *m)
+{
+    double deaf = deaf_s(lead, m), lease = lead->node->settings->lease_s;
+    if (deaf > (m->attempts->len > 0 ? lease + 5 : 3 * lease))
+        ow_fleet_delete(lead, m, "it does not hear us, and its tasks can't be accounted for");
+    else if (m->fenced && deaf > DEAF_S &&
+             lead->node->now - m->seen_at < 2.5 * lead->node->settings->report_s)
+        ow_fleet_delete(lead, m, "it reports but does not hear us");
+}
+
+/* Where many machines don't hear us the fault is hardly theirs. */
+static bool few_deaf(const struct ow_lead *lead)
+{
+    unsigned deaf = 0;
+    for (guint i = 0; i < lead->machines->len; i++)
+        deaf += deaf_s(lead, g_ptr_array_index(lead->machines, i)) > 5 ? 1 : 0;
+    return deaf <= DEAF_FEW || deaf <= lead->machines->len / 4;
+}
+
+/* What can't be started where it should leaves the rest of its gang waiting: another attempt is better. */
+static void free_gangs(struct ow_lead *lead, struct ow_machine *m)
+{
+    for (guint i = m->attempts->len; i > 0; i--) {
+        if (i > m->attempts->len)
+            continue;
+        struct ow_attempt *at = g_ptr_array_index(m->attempts, i - 1);
+        if (at->job->spec->submission->gang && at->state == OW_AT_SENT && !at->stop)
+            ow_run_stop(lead, at->job->run, 0, "a machine of the gang does not hear us");
+    }
+}
+
 /* Rule 7: what could still run of a cancelled job is ended by returning its machine, if nothing else works.
  */
 static void pursue_cancelled(struct ow_lead *lead, struct ow_machine *m)
@@ -88,6 +131,7 @@
 
 void ow_care_tick(struct ow_lead *lead)
 {
+    bool may_blame = few_deaf(lead);
     for (guint i = lead->machines->len; i > 0; i--) {
         if (i > lead->machines->len)
             continue;
@@ -96,19 +140,36 @@
         if (m->lost_at > 0)
             drain_noticed(lead, m);
         /* Recorded tasks on a machine not yet fenced, or orders that found no ear: try its own address. */
-        if (!m->fenced && m->addr != NULL && m->listed != OW_LISTED_BOOTING)
+        if ((!m->fenced || m->unheard_since > 0) && m->addr != NULL && m->listed != OW_LISTED_BOOTING)
             m->direct_wanted = true;
+        if (m->unheard_since > 0)
+            free_gangs(lead, m);
         /* A faulty machine is given back; a sound one is rented in its place if it is missed. */
         if (lead->node->now < m->quarantine_until && m->attempts->len == 0)
             ow_fleet_delete(lead, m, "it is faulty");
         pursue_cancelled(lead, m);
         pursue_silent(lead, m);
+        if (may_blame)
+            pursue_deaf(lead, m);
     }
 }
 
+static void clear_suspicion(const struct ow_run *run)
+{
+    GHashTableIter iter;
+    void *machine;
+    g_hash_table_iter_init(&iter, run->bad_machines);
+    while (g_hash_table_iter_next(&iter, &machine, NULL))
+        ((struct ow_machine *)machine)->suspect_until = 0;
+}
+
 void ow_care_error(struct ow_lead *lead, struct ow_machine *m, struct ow_run *run)
 {
     double now = lead->node->now;
+    /* For a while only: a job must not run out of machines because each of them failed it once. */
+    if (now > run->bad_until)
+        g_hash_table_remove_all(run->bad_machines);
+    run->bad_until = now + BAD_S;
     g_hash_table_add(run->bad_machines, m);
     run->failures = MIN(run->failures + 1, 1000);
     guint bad = g_hash_table_size(run->bad_machines);
@@ -118,12 +179,14 @@
         if (run->ready_at < now + 1)
             g_info("job %s fails on %u machines: paused for %.0f s", run->job->id, bad, pause);
         run->ready_at = MAX(run->ready_at, now + pause);
+        clear_suspicion(run);
         g_hash_table_remove_all(run->bad_machines);
         return;
     }
     /* A job with many tasks proves no more against a machine than one with a single task. */
     m->errors += m->failed_job != run->job ? 1 : 0;
     m->failed_job = run->job;
+    m->suspect_until = now + SUSPECT_S;
     if (m->errors < ERRORS_TO_QUARANTINE || now < m->quarantine_until)
         return;
     double pause = MIN(240, 30 << MIN(m->quarantines, 3));
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -190,6 +190,7 @@
 static void take_store(struct ow_node *node, const struct ow_command *c)
 {
     int status = c->store.status;
+    node->state_silent = status == 0;
     if (status == 0 || status == 503) {
         if (node->state_bad_since == 0)
             node->state_bad_since = node->now;
@@ -218,6 +219,8 @@
 static void take_peer(struct ow_node *node, struct ow_command *c)
 {
     struct ow_peer_message *message = c->peer;
+    if (message->kind != OW_PEER_LOST)
+        node->peer_heard_at = node->now;
     switch (message->kind) {
     case OW_PEER_HELLO:
         if (message->number > 0)
@@ -358,6 +361,11 @@
     return BUSY_PAUSE_S;
 }
 
+static bool peer_heard(const struct ow_node *node)
+{
+    return node->peer_heard_at > 0 && node->now - node->peer_heard_at < PEER_WORD_S;
+}
+
 static bool peer_state_ok(const struct ow_node *node)
 {
     GHashTableIter iter;
@@ -377,7 +385,10 @@
        this one alone, users are better off elsewhere. */
     bool starting = !ow_replica_loaded(node->replica) || !node->types_known;
     bool blind = node->state_bad_since > 0 && node->now - node->state_bad_since > STATE_BAD_S;
-    return !(starting || blind) || !peer_state_ok(node);
+    /* In an outage the state service refuses. One that answers nothing at all is out of our reach, and if no
+       other controller is in reach either, it is we who are cut off. */
+    bool cut_off = blind && node->state_silent && node->settings->peers->len > 0 && !peer_heard(node);
+    return !cut_off && (!(starting || blind) || !peer_state_ok(node));
 }
 
 uint64_t ow_core_token(const struct ow_core *core)
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -8,6 +8,8 @@
 static const double RETRY_S = 0.4, WATCH_S = 20, WATCH_GAP_S = 0.2;
 /* A leader so young is not taken over on a hint: two that can't reach each other would take turns. */
 static const double HINT_AGE_S = 8;
+/* How long one that has stepped down for the workers' sake leaves the key to others. */
+static const double YIELD_S = 15;
 
 enum stage { LOOKING, LEASING, TAKING, LEADING };
 
@@ -108,6 +110,18 @@
         step_down(e, "the key has changed hands");
 }
 
+void ow_election_yield(struct ow_election *e, const char *why)
+{
+    if (e->stage != LEADING)
+        return;
+    struct ow_store_request *txn = ow_store_request_new(OW_STORE_TXN, NULL);
+    ow_store_expect(txn, OW_KEY_COORDINATOR, e->token);
+    ow_store_write(txn, OW_KEY_COORDINATOR, NULL, 0);
+    ow_node_store(e->node, txn, NULL, e, NULL, NULL);
+    step_down(e, why);
+    look_again(e, YIELD_S);
+}
+
 void ow_election_saw_token(struct ow_election *e, uint64_t token, const char *leader)
 {
     if (token < e->seen_token)
--- a/src/core/election.h
+++ b/src/core/election.h
@@ -20,6 +20,8 @@
 void ow_election_saw_token(struct ow_election *election, uint64_t token, const char *leader);
 /* A controller seems to have ended. If it leads, its key is taken over without waiting for its lease. */
 void ow_election_lost(struct ow_election *election, const char *node);
+/* We lead, but are of no use to the workers: another one is to lead, and we try again only later. */
+void ow_election_yield(struct ow_election *election, const char *why);
 /* A write of ours failed because the key has changed hands. */
 void ow_election_deposed(struct ow_election *election);
 
--- a/src/core/lead.c
+++ b/src/core/lead.c
@@ -6,6 +6,10 @@
 #include <string.h>
 
 static const double PASS_GAP_S = 0.1, PASS_LEAST_S = 1, CARE_S = 0.5, SUMMARY_S = 1.5, TYPES_S = 60;
+/* So many reports missed by so many machines, and by all there are: we have lost the workers. One that has
+   just taken over gives them time to find it. */
+static const double LOST_REPORTS = 2.5, LOST_NEW_S = 20;
+enum { LOST_LEAST = 2 };
 
 struct ow_lead *ow_lead_new(struct ow_node *node, uint64_t token)
 {
@@ -49,11 +53,10 @@
 {
     struct ow_effect *e = ow_effect_new(OW_EFFECT_ORDERS, request);
     GArray *clears = g_array_new(FALSE, FALSE, sizeof(struct ow_order));
-    ow_reports_take(lead, report, clears);
-    struct ow_machine *m = ow_book_get(lead, report->machine);
-    m->reported_at = m->answered_at = lead->node->now;
+    const struct ow_machine *known = ow_reports_take(lead, report, clears);
+    struct ow_machine *m = known != NULL ? ow_book_find(lead, report->machine) : NULL;
     e->token = lead->token;
-    bool current = m->fenced && report->token == lead->token && report->session == m->session &&
+    bool current = m != NULL && m->fenced && report->token == lead->token && report->session == m->session &&
                    report->seq == m->seq && lead->phase == OW_LEAD_READY;
     /* Orders go only to the session that they are meant for, and not in answer to a late copy. */
     e->orders = current ? ow_orders_for(lead, m, NULL) : g_array_new(FALSE, FALSE, sizeof(struct ow_order));
@@ -134,6 +137,21 @@
     ow_node_cloud(lead->node, request, on_types, lead, NULL, NULL);
 }
 
+/* Whether every worker has fallen silent at once: it is we who are cut off, not they. Nobody but workers
+   tells; the state service and the other controllers may be in best reach. */
+static bool workers_lost(const struct ow_lead *lead)
+{
+    double now = lead->node->now, heard = lead->ready_at;
+    unsigned expected = 0;
+    for (guint i = 0; i < lead->machines->len; i++) {
+        const struct ow_machine *m = g_ptr_array_index(lead->machines, i);
+        heard = MAX(heard, m->seen_at);
+        expected += m->listed == OW_LISTED_RUNNING && !m->deleting ? 1 : 0;
+    }
+    double patience = lead->heard_some ? LOST_REPORTS * lead->node->settings->report_s : LOST_NEW_S;
+    return expected >= LOST_LEAST && now - heard > patience;
+}
+
 void ow_lead_wake(struct ow_lead *lead)
 {
     lead->dirty = true;
@@ -155,6 +173,10 @@
     }
     if (now >= lead->care_at) {
         lead->care_at = now + CARE_S;
+        if (workers_lost(lead)) {
+            ow_election_yield(lead->node->election, "no worker is heard any more");
+            return;
+        }
         ow_care_tick(lead);
     }
     ow_rent_tick(lead);
--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -74,9 +74,10 @@
     bool finishing;                     /* its last record is queued or under way */
     double ready_at;                    /* not to be started before */
     unsigned failures;                  /* in a row, on several machines */
+    double bad_until;                   /* bad_machines count no longer */
     GHashTable *bad_machines;           /* machines where a task of it failed -> nothing */
     struct ow_reservation *reservation; /* of a waiting gang; owned by reservation.c */
-    double came_at;                     /* when this coordinator first saw it */
+    double came_at;                     /* when this controller first saw the job, also before it led */
 };
 
 /* ---- machines: book.c ---- */
@@ -99,8 +100,10 @@
     int type, zone; /* OW_NO_NAME: not known yet */
     bool spot;
     enum ow_listed listed;
-    double rented_at, seen_at;       /* seen_at: the last message from it, 0: none */
-    double reported_at, answered_at; /* its last report to us; our last answer */
+    double rented_at;
+    double met_at;        /* when this coordinator first heard of it */
+    double seen_at;       /* the newest message from it came then; 0: none has */
+    double unheard_since; /* our orders find no answer since then; 0: it hears us */
     uint64_t session, seq;
     uint64_t dead_session; /* every session up to it is proven over */
     bool fenced;           /* it has shown our token: older coordinators command it no more */
@@ -119,8 +122,9 @@
     const struct ow_job *failed_job; /* the last of them */
     unsigned quarantines;
     double quarantine_until;
-    bool gpus_kept;  /* waiting work needs its GPUs: not for work without need of them */
-    double slowness; /* run time against the estimate's, as seen; 1: as expected */
+    double suspect_until; /* it has failed a job, and it is not known yet whose fault that was */
+    bool gpus_kept;       /* waiting work needs its GPUs: not for work without need of them */
+    double slowness;      /* run time against the estimate's, as seen; 1: as expected */
     double idle_since;
     bool draining, deleting;
     double delete_at;              /* the next try */
@@ -183,6 +187,7 @@
     struct ow_bucket cloud;
     double list_at, types_at, rent_at, summary_at, care_at;
     bool listing, listed_once, types_busy;
+    bool heard_some; /* a worker has reported under our token */
     char *list_after;
     unsigned rentals;
     unsigned renting;     /* calls under way */
@@ -250,7 +255,10 @@
 void ow_orders_send(struct ow_lead *lead);
 
 /* reports.c */
-void ow_reports_take(struct ow_lead *lead, const struct ow_report *report, GArray *clears);
+/* The machine that reports, or NULL if it is gone and this is a late copy. */
+struct ow_machine *ow_reports_take(struct ow_lead *lead, const struct ow_report *report, GArray *clears);
+/* The worker has lost its memory: nothing of what it had is left. */
+void ow_reports_begin_anew(struct ow_lead *lead, struct ow_machine *m);
 
 /* recorder.c */
 struct ow_recorder *ow_recorder_new(struct ow_lead *lead);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -32,7 +32,9 @@
     struct ow_lead *lead;   /* NULL while another controller coordinates */
     double state_ok_at;     /* the last answer of the state service that was no failure */
     double state_bad_since; /* 0: the last answer was good */
+    bool state_silent;      /* the last failure was no answer, rather than a refusal */
     GHashTable *peers_ok;   /* peer name -> double *: when it last said that its state service answers */
+    double peer_heard_at;   /* the last word of any peer; 0: none yet */
     GArray *machine_hints;  /* struct ow_peer_machine, from the coordinator's last message */
     double hello_at;
 };
--- a/src/core/orders.c
+++ b/src/core/orders.c
@@ -42,10 +42,45 @@
     return orders;
 }
 
+/* To whom an order went, and the newest that was known of it then. */
+struct direct {
+    char *machine;
+    uint64_t session, seq;
+    double sent_at;
+};
+
+static void direct_free(void *data)
+{
+    struct direct *d = data;
+    g_free(d->machine);
+    g_free(d);
+}
+
+/* Numbers of a worker only grow, and it has answered an order that left after the larger one was known. */
+static bool has_lost_memory(const struct direct *d, const struct ow_report *report)
+{
+    return report->session < d->session || (report->session == d->session && report->seq <= d->seq);
+}
+
+static void take_direct_answer(struct ow_lead *lead, struct ow_machine *m, const struct direct *d,
+                               const struct ow_command *answer)
+{
+    g_array_set_size(m->direct_starts, 0);
+    m->unheard_since = 0;
+    if (answer->report != NULL) {
+        if (has_lost_memory(d, answer->report) && answer->report->session <= m->session)
+            ow_reports_begin_anew(lead, m);
+        ow_reports_take(lead, answer->report, NULL);
+    }
+    if (answer->status == 409)
+        m->direct_at = lead->node->now + 0.5;
+}
+
 static void on_direct(void *owner, void *data, const struct ow_command *answer)
 {
     struct ow_lead *lead = owner;
-    struct ow_machine *m = ow_book_find(lead, data);
+    const struct direct *d = data;
+    struct ow_machine *m = ow_book_find(lead, d->machine);
     if (m == NULL)
         return;
     if (answer->report != NULL && answer->report->token > lead->token) {
@@ -54,29 +89,31 @@
     }
     m->direct_busy = false;
     if (answer->status == 200 || answer->status == 409) {
-        g_array_set_size(m->direct_starts, 0);
-        if (answer->report != NULL)
-            ow_reports_take(lead, answer->report, NULL);
-        if (answer->status == 409)
-            m->direct_at = lead->node->now + 0.5;
+        take_direct_answer(lead, m, d, answer);
         return;
     }
     /* No answer: these launches may be carried out minutes later, for as long as the session lasts. */
     g_array_append_vals(m->floating, m->direct_starts->data, m->direct_starts->len);
     g_array_set_size(m->direct_starts, 0);
     m->direct_at = lead->node->now + DIRECT_PAUSE_S;
+    if (m->unheard_since == 0) {
+        g_info("machine %s does not answer", m->name);
+        m->unheard_since = d->sent_at;
+    }
 }
 
 static void send_direct(struct ow_lead *lead, struct ow_machine *m)
 {
     struct ow_effect *e = ow_effect_new(OW_EFFECT_DIRECT, 0);
+    struct direct *d = g_new0(struct direct, 1);
+    *d = (struct direct){g_strdup(m->name), m->session, m->seq, lead->node->now};
     m->direct_wanted = false;
     m->direct_busy = true;
     e->orders = ow_orders_for(lead, m, m->direct_starts);
     e->text = g_strdup(m->addr);
     e->token = lead->token;
     e->session = MAX(m->session, 1);
-    e->request = ow_calls_add(lead->node->calls, on_direct, lead, g_strdup(m->name), g_free);
+    e->request = ow_calls_add(lead->node->calls, on_direct, lead, d, direct_free);
     ow_node_emit(lead->node, e);
 }
 
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -108,7 +108,7 @@
 bool ow_place_may(const struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m)
 {
     return ow_book_usable(lead, m) && ow_place_allowed(lead, run->job->spec, m) &&
-           !g_hash_table_contains(run->bad_machines, m);
+           (lead->node->now > run->bad_until || !g_hash_table_contains(run->bad_machines, m));
 }
 
 bool ow_place_cheaply(const struct ow_lead *lead, const struct ow_run *run)
--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -9,7 +9,7 @@
 
 /* How long a watch may stay open, and the least time between two reads of one kind. */
 static const double WATCH_S = 10, WATCH_GAP_LEAD_S = 0.1, WATCH_GAP_S = 1.0, FRESH_GAP_S = 0.05,
-                    RETRY_S = 0.5;
+                    RETRY_S = 0.5, READ_SHARE = 0.4;
 
 struct waiter {
     ow_fresh_fn fn;
@@ -69,7 +69,7 @@
             continue;
         }
         ow_jobs_apply(r->node->jobs, item->key + strlen(OW_KEY_JOBS), item->version, record.stance,
-                      record.submission);
+                      record.submission, r->node->now);
     }
 }
 
@@ -191,7 +191,9 @@
     r->asked = waiters;
     r->hinted = false;
     r->reading = true;
-    r->fresh_at = r->node->now + FRESH_GAP_S;
+    /* Reads for polls keep to a share of the state service's requests, whatever the number of controllers. */
+    double share = READ_SHARE * r->node->settings->state_rps / (r->node->settings->peers->len + 1);
+    r->fresh_at = r->node->now + MAX(FRESH_GAP_S, share > 0 ? 1 / share : 0);
     send_follow(r, 0, on_fresh);
 }
 
--- a/src/core/reports.c
+++ b/src/core/reports.c
@@ -77,6 +77,8 @@
 {
     struct ow_run *run = at->job->run;
     bool was_running = at->state == OW_AT_SEEN && at->phase == OW_RUNNING;
+    if (at->state == OW_AT_SENT)
+        at->machine->unheard_since = 0; /* the order was heard, by whichever way it came */
     at->state = OW_AT_SEEN;
     at->phase = phase;
     run->running += (phase == OW_RUNNING ? 1 : 0) - (was_running ? 1 : 0);
@@ -128,17 +130,21 @@
     }
 }
 
-static void begin_session(struct ow_lead *lead, struct ow_machine *m, uint64_t session)
+static void begin_session(struct ow_machine *m, uint64_t session)
 {
     m->session = session;
     m->seq = 0;
     m->dead_session = MAX(m->dead_session, session - 1);
     g_array_set_size(m->floating, 0);
+}
+
+static void end_older_sessions(struct ow_lead *lead, struct ow_machine *m)
+{
     for (guint i = m->attempts->len; i > 0; i--) {
         if (i > m->attempts->len)
             continue;
         struct ow_attempt *at = g_ptr_array_index(m->attempts, i - 1);
-        if (at->session < session)
+        if (at->session < m->session)
             ow_attempt_end(lead, at, OW_CAUSE_NONE, "its machine has begun a new session");
     }
 }
@@ -154,38 +160,66 @@
     m->lost_at = lead->node->now + notice_s;
 }
 
-void ow_reports_take(struct ow_lead *lead, const struct ow_report *report, GArray *orders)
+/* What a report says of its machine whoever has been obeyed there. A session that has ended took its tasks
+   along, whichever token the worker has seen: attempts are recorded with the session that they were meant
+   for. */
+static void take_session(struct ow_lead *lead, struct ow_machine *m, const struct ow_report *report)
 {
+    if (report->session > m->session)
+        begin_session(m, report->session);
+    /* Also in a session that records have named before: others may name older ones. */
+    end_older_sessions(lead, m);
+    m->listed = OW_LISTED_RUNNING;
+    m->seen_at = lead->node->now;
+    m->seq = report->seq;
+}
+
+static void take_fence(struct ow_lead *lead, struct ow_machine *m)
+{
+    m->fenced = true;
+    m->fenced_at = m->idle_since = lead->node->now;
+    m->unheard_since = 0;
+    lead->dirty = lead->heard_some = true;
+    g_info("machine %s reports, session %" G_GUINT64_FORMAT, m->name, m->session);
+}
+
+struct ow_machine *ow_reports_take(struct ow_lead *lead, const struct ow_report *report, GArray *orders)
+{
+    /* A copy of an old report must not bring a deleted machine back. */
+    if (g_hash_table_contains(lead->returned, report->machine))
+        return NULL;
     struct ow_machine *m = ow_book_get(lead, report->machine);
-    double now = lead->node->now;
-    ow_book_describe(lead, m, report->addr, report->type, report->zone, report->spot);
-    /* A late copy says nothing about now, and a session proven over is over. */
+    /* A late copy says nothing about now, renews nothing, and a session proven over is over. It may also be
+       the word of a worker that has lost its memory: an answer of its own to an order of ours tells. */
     if (report->session < m->session || (report->session == m->session && report->seq <= m->seq) ||
-        report->session <= m->dead_session)
-        return;
-    m->listed = OW_LISTED_RUNNING;
-    m->seen_at = now;
+        report->session <= m->dead_session) {
+        m->direct_wanted = m->direct_wanted || lead->phase == OW_LEAD_READY;
+        return m;
+    }
+    ow_book_describe(lead, m, report->addr, report->type, report->zone, report->spot);
+    take_session(lead, m, report);
     if (report->token != lead->token || lead->phase != OW_LEAD_READY) {
         /* Until it has seen our token an older coordinator may still change what it says. */
         m->direct_wanted = m->direct_wanted || lead->phase == OW_LEAD_READY;
-        if (report->session > m->session && m->session == 0)
-            m->session = report->session;
-        return;
+        return m;
     }
-    if (report->session > m->session || !m->fenced)
-        begin_session(lead, m, report->session);
-    if (!m->fenced) {
-        m->fenced = true;
-        m->fenced_at = now;
-        m->idle_since = now;
-        lead->dirty = true;
-        g_info("machine %s reports, session %" G_GUINT64_FORMAT, m->name, m->session);
-    }
-    m->seq = report->seq;
+    if (!m->fenced)
+        take_fence(lead, m);
     m->mark = ++lead->mark;
     m->stray = (struct ow_amounts){0};
     take_notice(lead, m, report->notice_s);
     for (guint i = 0; i < report->tasks->len; i++)
         take_task(lead, m, &g_array_index(report->tasks, struct ow_task_report, i), orders);
     take_absent(lead, m);
+    return m;
+}
+
+void ow_reports_begin_anew(struct ow_lead *lead, struct ow_machine *m)
+{
+    g_info("machine %s has begun anew", m->name);
+    while (m->attempts->len > 0)
+        ow_attempt_end(lead, g_ptr_array_index(m->attempts, 0), OW_CAUSE_NONE, "its machine has begun anew");
+    g_array_set_size(m->floating, 0);
+    m->session = m->seq = m->dead_session = 0;
+    m->fenced = false;
 }
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -96,7 +96,7 @@
         return job->run;
     struct ow_run *run = g_new0(struct ow_run, 1);
     run->job = job;
-    run->came_at = lead->node->now;
+    run->came_at = job->seen_at;
     run->count = job->spec->submission->tasks;
     run->tasks = g_new0(struct ow_task, run->count);
     run->attempts = g_ptr_array_new();
@@ -220,6 +220,7 @@
     ow_recorder_chunk(lead, run, task, false);
     if (cause == OW_CAUSE_DONE) {
         m->errors = 0;
+        m->suspect_until = 0;
         m->failed_job = NULL;
         take_result(lead, run, task);
         return;
--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -3,6 +3,9 @@
 
 /* How far the size of an array counts against its age. */
 static const double SIZE_WEIGHT = 5;
+/* Nobody starves: the size of an array puts it off no longer than this, and a job of which nothing has
+   started moves up a rank in the line with every such time. Nothing is stopped for that. */
+static const double PUT_OFF_MOST_S = 60, PROMOTION_S = 80;
 static void settle(struct ow_lead *lead, struct ow_job *job)
 {
     struct ow_run *run = ow_run_get(lead, job);
@@ -119,7 +122,8 @@
     if (spec->submission->gang)
         return run->came_at;
     double share = need->gpus > 0 ? need->gpus / MAX(fleet_gpus, 1) : need->cpus / MAX(fleet_cpus, 1);
-    return run->came_at + SIZE_WEIGHT * ow_run_pending(run) * ow_class_run_s(lead->node, spec) * share;
+    double put_off = SIZE_WEIGHT * ow_run_pending(run) * ow_class_run_s(lead->node, spec) * share;
+    return run->came_at + MIN(put_off, PUT_OFF_MOST_S);
 }
 
 static void fleet_size(const struct ow_lead *lead, double *cpus, double *gpus)
@@ -135,6 +139,14 @@
     }
 }
 
+static int rank_in_line(const struct ow_lead *lead, const struct ow_run *run)
+{
+    int rank = (int)run->job->spec->submission->rank;
+    if (run->attempts->len > 0 || run->done > 0)
+        return rank;
+    return MAX(rank - (int)((lead->node->now - run->came_at) / PROMOTION_S), OW_RANK_CRITICAL);
+}
+
 static GArray *line(struct ow_lead *lead)
 {
     GArray *entries = g_array_new(FALSE, FALSE, sizeof(struct entry));
@@ -144,7 +156,7 @@
         struct ow_run *run = g_ptr_array_index(lead->runs, i);
         if (ow_run_pending(run) == 0 || run->ready_at > lead->node->now)
             continue;
-        struct entry e = {run, (int)run->job->spec->submission->rank, !guaranteed(lead, run),
+        struct entry e = {run, rank_in_line(lead, run), !guaranteed(lead, run),
                           turn_of(lead, run, cpus, gpus)};
         g_array_append_val(entries, e);
     }
--- a/tests/test_safety.c
+++ b/tests/test_safety.c
@@ -281,6 +281,7 @@
     (void)state;
     struct world *w = start_world(2);
     w->run_s = 200;
+    w->capacity = 2;
     int leader = world_leader(w);
     w->keep_held = true;
     w->hold_next = 1;
