--- a/src/core/core.c
+++ b/src/core/core.c
@@ -12,13 +12,15 @@
 #include <string.h>
 
 static const double HELLO_S = 1, TYPES_RETRY_S = 1.5, STATE_BAD_S = 2, STATE_RECENT_S = 12, PEER_WORD_S = 4,
-                    BUSY_PAUSE_S = 0.05;
+                    BUSY_PAUSE_S = 0.05, PROBE_S = 2;
 enum { QUEUES = OW_COMMAND_SUBMIT + 1, SUBMITS_MOST = 400 };
 
 struct ow_core {
     struct ow_node node;
     GQueue queues[QUEUES];
     bool types_busy;
+    bool probing;
+    double probed_at;
 };
 
 /* ---- what the parts call (node.h) ---- */
@@ -333,6 +335,25 @@
     ow_node_store(node, ow_store_request_new(OW_STORE_GET, OW_KEY_TYPES), on_stored_types, core, NULL, NULL);
 }
 
+static void on_probe(void *owner, void *data, const struct ow_command *answer)
+{
+    struct ow_core *core = owner;
+    (void)data;
+    (void)answer; /* that there is one has been noted by then */
+    core->probing = false;
+}
+
+/* A controller without requests of its own has open watches alone, and those hang when it is cut off. */
+static void probe_state(struct ow_core *core)
+{
+    struct ow_node *node = &core->node;
+    if (core->probing || node->now < MAX(node->state_ok_at, core->probed_at) + PROBE_S)
+        return;
+    core->probing = true;
+    core->probed_at = node->now;
+    ow_node_store(node, ow_store_request_new(OW_STORE_GET, OW_KEY_COORDINATOR), on_probe, core, NULL, NULL);
+}
+
 GPtrArray *ow_core_run(struct ow_core *core, double now)
 {
     struct ow_node *node = &core->node;
@@ -349,6 +370,7 @@
         ow_lead_tick(node->lead);
     ow_replica_tick(node->replica);
     ask_types(core);
+    probe_state(core);
     say_hello(node);
     GPtrArray *effects = node->effects;
     node->effects = g_ptr_array_new_with_free_func(ow_effect_free);
--- a/tests/world.c
+++ b/tests/world.c
@@ -83,6 +83,11 @@
     s->zone = zones[0];
     s->front = s->peer_listen = s->cloud = s->state = endpoint;
     s->peers = g_array_new(FALSE, TRUE, sizeof(struct ow_peer_settings));
+    for (int i = 0; i < WORLD_NODES; i++) {
+        struct ow_peer_settings peer = {.node = names[i], .endpoint = endpoint};
+        if (i != node)
+            g_array_append_val(s->peers, peer);
+    }
     s->teams = g_array_new(FALSE, TRUE, sizeof(struct ow_team_settings));
     static char open_team[] = "open", tight_team[] = "tight";
     add_team(s->teams, open_team, 0, 0);
@@ -115,7 +120,7 @@
     g_array_set_clear_func(w->log, event_clear);
     w->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     w->revision = 1;
-    w->denied_node = -1;
+    w->denied_node = w->isolated_node = w->lonely_node = -1;
     w->held = g_ptr_array_new();
     w->follows = g_ptr_array_new();
     w->machines = g_ptr_array_new();
@@ -369,6 +374,12 @@
 {
     const struct ow_store_request *r = e->store;
     uint64_t nonce = w->node_nonce[node];
+    if (node == w->isolated_node) {
+        struct ow_command *c = command(OW_COMMAND_STORE, r->tag);
+        c->store = (struct ow_store_reply){.tag = r->tag, .items = new_items()};
+        deliver(w, node, nonce, 1.5, c);
+        return;
+    }
     if (w->state_down || node == w->denied_node) {
         answer_store(w, node, nonce, r->tag, 503, NULL, 0, NULL);
         return;
@@ -455,6 +466,8 @@
     }
     for (guint i = w->follows->len; i > 0 && !w->state_down; i--) {
         struct follow *f = g_ptr_array_index(w->follows, i - 1);
+        if (f->node == w->isolated_node)
+            continue;
         GArray *items = changes_since(w, f->prefix, f->since);
         if ((items->len == 0 || w->deaf_watches) && w->now < f->until) {
             g_array_free(items, TRUE);
@@ -597,7 +610,7 @@
 {
     struct world_machine *m = world_machine(w, e->text);
     struct ow_command *c = command(OW_COMMAND_DIRECT_REPLY, e->request);
-    if (m == NULL || m->gone || m->cut || m->hangs || w->hold_directs) {
+    if (m == NULL || m->gone || m->cut || m->hangs || m->deaf || w->hold_directs || node == w->lonely_node) {
         if (m != NULL && !m->gone && (m->cut || w->hold_directs)) {
             /* The cut holds the packets; they get there once it ends. */
             struct late_direct late = {
@@ -643,7 +656,7 @@
     if (index >= w->machines->len)
         return; /* nobody waits for it */
     struct world_machine *m = g_ptr_array_index(w->machines, index);
-    if (!m->report_busy || (uint32_t)e->request != (uint32_t)m->seq || m->cut || m->hangs)
+    if (!m->report_busy || (uint32_t)e->request != (uint32_t)m->seq || m->cut || m->hangs || m->deaf)
         return;
     m->report_busy = false;
     m->report_at = w->now + REPORT_S;
@@ -716,7 +729,7 @@
     if (m->report_busy || w->now < m->report_at || m->cut)
         return;
     m->sent_at = w->now;
-    if (w->cores[m->node] == NULL) {
+    if (w->cores[m->node] == NULL || m->node == w->lonely_node) {
         m->node = (m->node + 1) % WORLD_NODES;
         m->report_at = w->now + 1;
         return;
@@ -860,6 +873,29 @@
     deliver(w, node, w->node_nonce[node], 0, c);
 }
 
+struct ow_report *world_last_report(const struct world_machine *m)
+{
+    struct world_machine copy = *m;
+    copy.seq--;
+    return make_report(&copy);
+}
+
+void world_send_copy(struct world *w, int node, struct ow_report *report)
+{
+    struct ow_command *c = command(OW_COMMAND_REPORT, (uint64_t)1 << 60);
+    c->report = report;
+    deliver(w, node, w->node_nonce[node], 0, c);
+}
+
+void world_reboot(struct world *w, struct world_machine *m)
+{
+    g_array_set_size(m->tasks, 0);
+    m->session = 1;
+    m->seq = m->token = 0;
+    m->report_busy = false;
+    m->renewed_at = m->report_at = w->now;
+}
+
 uint64_t world_submit(struct world *w, int node, struct ow_submission *submission)
 {
     struct ow_command *c = command(OW_COMMAND_SUBMIT, 0);
@@ -923,7 +959,8 @@
     GString *frame = g_string_new(NULL);
     wire_peer_encode(message, frame);
     for (int i = 0; i < WORLD_NODES; i++) {
-        if (i == from || w->cores[i] == NULL || w->peers_cut)
+        if (i == from || w->cores[i] == NULL || w->peers_cut || i == w->isolated_node ||
+            from == w->isolated_node)
             continue;
         struct ow_command *c = command(OW_COMMAND_PEER, 0);
         c->peer = wire_peer_decode(frame->str + 4, frame->len - 4);
--- a/tests/world.h
+++ b/tests/world.h
@@ -23,6 +23,7 @@
     char name[32], addr[32], type[16], zone[16];
     bool spot, gone, cut, hangs; /* cut: nothing gets through; hangs: it does nothing at all */
     bool sick;
+    bool deaf; /* its reports arrive; answers and orders do not reach it */
     double up_at;
     uint64_t session, seq, token;
     double notice_s;
@@ -64,6 +65,8 @@
     unsigned hold_next; /* so many of the next transactions of `hold_node` are held */
     int hold_node;
     int denied_node;    /* the state service answers it 503; -1: none */
+    int isolated_node;  /* neither the state service nor other controllers are in its reach; -1: none */
+    int lonely_node;    /* no worker is in its reach, nor it in theirs; -1: none */
     GPtrArray *held;    /* transactions not yet carried out */
     GPtrArray *follows; /* open watches */
     unsigned txns;
@@ -99,6 +102,11 @@
 /* Requests of users to a node; the answer comes while the world runs. */
 /* A report that comes late or is made up, to a node. */
 void world_report(struct world *w, int node, const struct world_machine *m, uint64_t seq, uint64_t token);
+/* What the machine reported last, or would have: to be sent later as a copy, which takes it over. */
+struct ow_report *world_last_report(const struct world_machine *m);
+void world_send_copy(struct world *w, int node, struct ow_report *report);
+/* The worker starts over with nothing: its numbers begin anew. */
+void world_reboot(struct world *w, struct world_machine *m);
 uint64_t world_submit(struct world *w, int node, struct ow_submission *submission);
 uint64_t world_poll(struct world *w, int node, const char *id);
 uint64_t world_withdraw(struct world *w, int node, const char *id);
