--- a/tests/test_chaos.c
+++ b/tests/test_chaos.c
@@ -12,6 +12,7 @@
     GRand *rand;
     double calm_at;
     bool withdrawn[JOBS];
+    GPtrArray *copies; /* struct ow_report, to be sent late */
 };
 
 static struct world_machine *any_machine(struct trouble *t)
@@ -20,10 +21,34 @@
                              (guint)g_rand_int_range(t->rand, 0, (gint32)t->w->machines->len));
 }
 
+/* What a machine said is said again later, to whoever leads then or to anybody. */
+static void keep_copy(struct trouble *t, const struct world_machine *m)
+{
+    g_ptr_array_add(t->copies, world_last_report(m));
+}
+
+static void send_copies(struct trouble *t)
+{
+    while (t->copies->len > 0) {
+        int node = g_rand_int_range(t->rand, 0, WORLD_NODES);
+        world_send_copy(t->w, node, g_ptr_array_index(t->copies, 0));
+        g_ptr_array_steal_index(t->copies, 0);
+    }
+}
+
 static void strike_machine(struct trouble *t)
 {
     struct world_machine *m = any_machine(t);
-    switch (g_rand_int_range(t->rand, 0, 4)) {
+    switch (g_rand_int_range(t->rand, 0, 7)) {
+    case 4:
+        m->deaf = !m->deaf;
+        break;
+    case 5:
+        keep_copy(t, m);
+        break;
+    case 6:
+        send_copies(t);
+        break;
     case 0:
         m->cut = !m->cut;
         break;
@@ -53,11 +78,20 @@
         world_kill_node(t->w, node);
     else
         world_start_node(t->w, node);
+    /* Some are back at once. */
+    if (t->w->cores[node] == NULL && g_rand_int_range(t->rand, 0, 3) == 0)
+        world_start_node(t->w, node);
 }
 
 static void strike_service(struct trouble *t)
 {
-    switch (g_rand_int_range(t->rand, 0, 5)) {
+    switch (g_rand_int_range(t->rand, 0, 7)) {
+    case 5:
+        t->w->isolated_node = g_rand_int_range(t->rand, -1, WORLD_NODES);
+        break;
+    case 6:
+        t->w->lonely_node = g_rand_int_range(t->rand, -1, WORLD_NODES);
+        break;
     case 0:
         t->w->state_down = !t->w->state_down;
         break;
@@ -90,10 +124,11 @@
 static void calm(struct trouble *t)
 {
     struct world *w = t->w;
+    w->isolated_node = w->lonely_node = -1;
     w->state_down = w->cloud_down = w->hold_txns = w->lose_txn_answers = w->hold_directs = false;
     for (guint i = 0; i < w->machines->len; i++) {
         struct world_machine *m = g_ptr_array_index(w->machines, i);
-        m->cut = m->hangs = m->sick = false;
+        m->cut = m->hangs = m->sick = m->deaf = false;
     }
     for (int i = 0; i < WORLD_NODES; i++)
         if (w->cores[i] == NULL)
@@ -139,9 +174,27 @@
     world_withdraw(t->w, g_rand_int_range(t->rand, 0, WORLD_NODES), id);
 }
 
+static void free_report(void *report)
+{
+    ow_report_free(report);
+}
+
+/* Once troubles are over, nobody asks in vain: users give a controller no minute to think. */
+static void poll_all(struct trouble *t)
+{
+    for (int i = 0; i < JOBS; i++) {
+        char id[16];
+        job_id(id, sizeof id, i);
+        if (world_stance(t->w, id) < 0)
+            fail_msg("nobody knows %s", id);
+    }
+}
+
 static void play(guint32 seed)
 {
-    struct trouble t = {.w = world_new(), .rand = g_rand_new_with_seed(seed)};
+    struct trouble t = {.w = world_new(),
+                        .rand = g_rand_new_with_seed(seed),
+                        .copies = g_ptr_array_new_with_free_func(free_report)};
     struct world *w = t.w;
     w->capacity = 40;
     for (int i = 0; i < WORLD_NODES; i++)
@@ -164,7 +217,9 @@
             withdraw_some(&t);
     }
     calm(&t);
-    world_run(w, 200);
+    world_run(w, 25);
+    poll_all(&t);
+    world_run(w, 175);
     for (int i = 0; i < JOBS; i++) {
         char id[16];
         job_id(id, sizeof id, i);
@@ -174,6 +229,7 @@
     }
     if (w->broken->len > 0)
         fail_msg("seed %u: %s", seed, w->broken->str);
+    g_ptr_array_free(t.copies, TRUE);
     g_rand_free(t.rand);
     world_free(w);
 }
