--- a/src/core/core.c
+++ b/src/core/core.c
@@ -12,7 +12,7 @@
 #include <string.h>
 
 static const double HELLO_S = 1, TYPES_RETRY_S = 1.5, STATE_BAD_S = 2, STATE_RECENT_S = 12, PEER_WORD_S = 4,
-                    BUSY_PAUSE_S = 0.05, PROBE_S = 2;
+                    BUSY_PAUSE_S = 0.05, PROBE_S = 2, WORKER_RECENT_S = 6;
 enum { QUEUES = OW_COMMAND_SUBMIT + 1, SUBMITS_MOST = 400 };
 
 struct ow_core {
@@ -178,6 +178,7 @@
 
 static void take_report(struct ow_node *node, const struct ow_command *c)
 {
+    node->worker_heard_at = node->now;
     /* A worker that has seen a higher token obeys another coordinator: we must not act for it. */
     ow_election_saw_token(node->election, c->report->token, NULL);
     if (node->lead != NULL) {
@@ -227,6 +228,8 @@
     case OW_PEER_HELLO:
         if (message->number > 0)
             ow_election_saw_token(node->election, message->number, message->leads ? message->node : NULL);
+        if (message->hears_workers)
+            node->peer_hears_at = node->now;
         if (message->state_ok && message->node != NULL) {
             double *at = g_new(double, 1);
             *at = node->now;
@@ -294,6 +297,7 @@
     /* An open watch says nothing: it hangs in an outage as it does in peace. */
     message->state_ok =
         node->state_ok_at > 0 && node->state_bad_since == 0 && node->now - node->state_ok_at < STATE_RECENT_S;
+    message->hears_workers = node->worker_heard_at > 0 && node->now - node->worker_heard_at < WORKER_RECENT_S;
     ow_node_tell_peers(node, message);
 }
 
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -40,7 +40,7 @@
     enum { OW_PEER_HELLO = 1, OW_PEER_SUMMARY, OW_PEER_NUDGE, OW_PEER_MACHINES, OW_PEER_LOST } kind;
     char *node;
     uint64_t number; /* token, or revision of a nudge */
-    bool leads, state_ok;
+    bool leads, state_ok, hears_workers;
     GArray *jobs;     /* struct ow_peer_job */
     GArray *machines; /* struct ow_peer_machine */
 };
--- a/src/core/lead.c
+++ b/src/core/lead.c
@@ -6,9 +6,9 @@
 #include <string.h>
 
 static const double PASS_GAP_S = 0.1, PASS_LEAST_S = 1, CARE_S = 0.5, SUMMARY_S = 1.5, TYPES_S = 60;
-/* So many reports missed by so many machines, and by all there are: we have lost the workers. One that has
-   just taken over gives them time to find it. */
-static const double LOST_REPORTS = 2.5, LOST_NEW_S = 20;
+/* So many reports missed by all machines, and a fresh word of a peer that they come to it. */
+static const double LOST_REPORTS = 2.5, LOST_WORD_S = 3;
+/* One machine alone may be at fault itself. */
 enum { LOST_LEAST = 2 };
 
 struct ow_lead *ow_lead_new(struct ow_node *node, uint64_t token)
@@ -137,8 +137,8 @@
     ow_node_cloud(lead->node, request, on_types, lead, NULL, NULL);
 }
 
-/* Whether every worker has fallen silent at once: it is we who are cut off, not they. Nobody but workers
-   tells; the state service and the other controllers may be in best reach. */
+/* Whether every worker has fallen silent at once while they come to other controllers: it is we who are cut
+   off from them, well as we may stand with the state service. Where they come to nobody, they are gone. */
 static bool workers_lost(const struct ow_lead *lead)
 {
     double now = lead->node->now, heard = lead->ready_at;
@@ -148,8 +148,8 @@
         heard = MAX(heard, m->seen_at);
         expected += m->listed == OW_LISTED_RUNNING && !m->deleting ? 1 : 0;
     }
-    double patience = lead->heard_some ? LOST_REPORTS * lead->node->settings->report_s : LOST_NEW_S;
-    return expected >= LOST_LEAST && now - heard > patience;
+    return expected >= LOST_LEAST && now - lead->node->peer_hears_at < LOST_WORD_S &&
+           now - heard > LOST_REPORTS * lead->node->settings->report_s;
 }
 
 void ow_lead_wake(struct ow_lead *lead)
--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -187,7 +187,6 @@
     struct ow_bucket cloud;
     double list_at, types_at, rent_at, summary_at, care_at;
     bool listing, listed_once, types_busy;
-    bool heard_some; /* a worker has reported under our token */
     char *list_after;
     unsigned rentals;
     unsigned renting;     /* calls under way */
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -34,6 +34,8 @@
     double state_bad_since; /* 0: the last answer was good */
     bool state_silent;      /* the last failure was no answer, rather than a refusal */
     GHashTable *peers_ok;   /* peer name -> double *: when it last said that its state service answers */
+    double worker_heard_at; /* the last report that came here; 0: none yet */
+    double peer_hears_at;   /* when a peer last said that workers come to it */
     double peer_heard_at;   /* the last word of any peer; 0: none yet */
     GArray *machine_hints;  /* struct ow_peer_machine, from the coordinator's last message */
     double hello_at;
--- a/src/core/reports.c
+++ b/src/core/reports.c
@@ -179,7 +179,7 @@
     m->fenced = true;
     m->fenced_at = m->idle_since = lead->node->now;
     m->unheard_since = 0;
-    lead->dirty = lead->heard_some = true;
+    lead->dirty = true;
     g_info("machine %s reports, session %" G_GUINT64_FORMAT, m->name, m->session);
 }
 
--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -10,7 +10,11 @@
 {
     struct ow_run *run = ow_run_get(lead, job);
     if (job->stance == OW_DONE) {
-        /* Its last record was carried out although the answer was lost. */
+        /* Its last record was carried out although the answer was lost. What may still be on a machine counts
+           until it is gone. */
+        ow_run_stop(lead, run, 0, "its job is done");
+        if (run->attempts->len > 0)
+            return;
         ow_run_drop(lead, run);
         ow_jobs_close(lead->node->jobs, job);
         return;
--- a/src/wire/peer_xdr.c
+++ b/src/wire/peer_xdr.c
@@ -12,6 +12,7 @@
     h->token = m->number;
     h->leads = m->leads;
     h->state_ok = m->state_ok;
+    h->hears_workers = m->hears_workers;
 }
 
 static void fill_summary(const struct ow_peer_message *m, peer_message *x)
@@ -103,6 +104,7 @@
         m->number = x->peer_message_u.hello.token;
         m->leads = x->peer_message_u.hello.leads;
         m->state_ok = x->peer_message_u.hello.state_ok;
+        m->hears_workers = x->peer_message_u.hello.hears_workers;
     } else if (x->kind == PEER_SUMMARY) {
         read_summary(&x->peer_message_u.summary, m);
     } else if (x->kind == PEER_NUDGE) {
