--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -222,6 +222,9 @@
 /* Whether the amounts lie within what the team is guaranteed. A resource of which it is guaranteed none is
    left out; one that is guaranteed must be among them. */
 bool ow_team_guarantees(const struct ow_lead *lead, int team, const struct ow_amounts *amounts);
+/* Whether such tasks need anything of which the team is guaranteed some: only then guarantees concern them.
+ */
+bool ow_team_covers(const struct ow_lead *lead, int team, const struct ow_amounts *need);
 /* Whether all unfinished jobs of the team together fit within its guarantee: they need not wait for others.
  */
 bool ow_team_entitled(const struct ow_lead *lead, int team);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -14,7 +14,7 @@
 /* Estimates are rough: only a machine so much slower than expected counts as slow. */
 static const double SLOW = 1.7;
 /* Work without aims goes on dear machines only after it has waited so long for cheap ones. */
-static const double DEAR_WAIT_S = 60;
+static const double DEAR_WAIT_S = 120;
 /* A fetch so short is never worth waiting for. */
 static const double SHORT_FETCH_S = 10;
 
--- a/src/core/preempt.c
+++ b/src/core/preempt.c
@@ -18,7 +18,9 @@
     if (other->submission->rank > spec->submission->rank)
         return true;
     return other->submission->rank == spec->submission->rank && other->team != spec->team &&
-           lead->entitled[spec->team] && lead->borrows[other->team];
+           lead->entitled[spec->team] && lead->borrows[other->team] &&
+           ow_team_covers(lead, spec->team, &spec->submission->need) &&
+           ow_team_covers(lead, other->team, &other->submission->need);
 }
 
 /* Seconds of one task's work that stopping it now throws away. */
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -65,6 +65,12 @@
     return some && !beyond(t->gpus, amounts->gpus) && !beyond(t->cpus, amounts->cpus);
 }
 
+bool ow_team_covers(const struct ow_lead *lead, int team, const struct ow_amounts *need)
+{
+    const struct ow_team_settings *t = ow_team_settings_of(lead, team);
+    return t != NULL && ((t->gpus > 0 && need->gpus > 0) || (t->cpus > 0 && need->cpus > 0));
+}
+
 bool ow_team_entitled(const struct ow_lead *lead, int team)
 {
     struct ow_amounts claims = {0};
@@ -87,7 +93,8 @@
 {
     const struct ow_spec *spec = run->job->spec;
     double patience = CLAIM_SHARE * ow_class_slack_s(lead->node, spec->class_index);
-    return lead->entitled[spec->team] && lead->node->now - run->came_at > patience;
+    return lead->entitled[spec->team] && ow_team_covers(lead, spec->team, &spec->submission->need) &&
+           lead->node->now - run->came_at > patience;
 }
 
 struct ow_run *ow_run_get(struct ow_lead *lead, struct ow_job *job)
--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -4,8 +4,8 @@
 /* How far the size of an array counts against its age. */
 static const double SIZE_WEIGHT = 5;
 /* Nobody starves: the size of an array puts it off no longer than this, and a job of which nothing has
-   started moves up a rank in the line with every such time. Nothing is stopped for that. */
-static const double PUT_OFF_MOST_S = 60, PROMOTION_S = 80;
+   started for so long goes to the front of the line. Nothing is stopped for that. */
+static const double PUT_OFF_MOST_S = 60, PROMOTION_S = 100;
 static void settle(struct ow_lead *lead, struct ow_job *job)
 {
     struct ow_run *run = ow_run_get(lead, job);
@@ -44,6 +44,20 @@
 /* What is kept for GPU work beyond what it needs now. */
 static const double GPU_MARGIN = 1.2;
 
+/* The share of tasks that are taken to fetch their image first. */
+static const double FETCH_SHARE = 0.5;
+
+static double fetch_s(const struct ow_lead *lead, const struct ow_spec *spec)
+{
+    double slowest = 0;
+    for (int i = 0; i < OW_MAX_TYPES; i++) {
+        const struct ow_machine_type *t = lead->node->types[i];
+        if (t != NULL && t->size.gpus > 0 && t->fetch_gb_per_s > 0 && (spec->types & (UINT64_C(1) << i)) != 0)
+            slowest = MAX(slowest, spec->submission->image_gb / t->fetch_gb_per_s);
+    }
+    return slowest;
+}
+
 /* GPUs that get through the work of GPU jobs in the time that their classes leave to wait. */
 static double gpus_wanted(struct ow_lead *lead)
 {
@@ -54,7 +68,8 @@
         double gpus = (run->count - run->done) * spec->submission->need.gpus;
         double slack = MAX(ow_class_slack_s(lead->node, spec->class_index), 1);
         if (gpus > 0 && !ow_job_over(run->job))
-            wanted += gpus * MIN(1, ow_class_run_s(lead->node, spec) / slack);
+            wanted +=
+                gpus * MIN(1, (ow_class_run_s(lead->node, spec) + FETCH_SHARE * fetch_s(lead, spec)) / slack);
     }
     return GPU_MARGIN * wanted;
 }
@@ -102,7 +117,8 @@
     const struct ow_spec *spec = run->job->spec;
     struct ow_amounts then = *ow_team_used(lead, spec->team);
     ow_amounts_add(&then, &spec->submission->need, ow_run_pending(run));
-    return ow_team_guarantees(lead, spec->team, &then);
+    return ow_team_covers(lead, spec->team, &spec->submission->need) &&
+           ow_team_guarantees(lead, spec->team, &then);
 }
 
 static gint by_line(gconstpointer a, gconstpointer b)
@@ -145,10 +161,8 @@
 
 static int rank_in_line(const struct ow_lead *lead, const struct ow_run *run)
 {
-    int rank = (int)run->job->spec->submission->rank;
-    if (run->attempts->len > 0 || run->done > 0)
-        return rank;
-    return MAX(rank - (int)((lead->node->now - run->came_at) / PROMOTION_S), OW_RANK_CRITICAL);
+    bool starving = run->attempts->len == 0 && run->done == 0 && lead->node->now - run->came_at > PROMOTION_S;
+    return starving ? OW_RANK_CRITICAL : (int)run->job->spec->submission->rank;
 }
 
 static GArray *line(struct ow_lead *lead)
