--- a/src/core/classes.c
+++ b/src/core/classes.c
@@ -70,6 +70,18 @@
     return slack < INFINITY ? slack : NO_AIM_SLACK_S;
 }
 
+unsigned ow_class_missed(struct ow_node *node, int class_index, double age_s)
+{
+    const char *name = ow_names_text(node->names.classes, class_index);
+    unsigned missed = 0;
+    for (guint i = 0; i < node->settings->objectives->len; i++) {
+        const struct ow_objective *o = &g_array_index(node->settings->objectives, struct ow_objective, i);
+        missed +=
+            o->kind == OW_OBJECTIVE_WAIT && strcmp(o->class_name, name) == 0 && age_s > o->within_s ? 1 : 0;
+    }
+    return missed;
+}
+
 bool ow_class_has_aim(struct ow_node *node, int class_index)
 {
     const char *name = ow_names_text(node->names.classes, class_index);
--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -107,8 +107,9 @@
 struct entry {
     struct ow_run *run;
     int rank;
-    bool borrowing; /* beyond its team's guarantee */
-    double turn;    /* earlier goes first */
+    bool borrowing;  /* beyond its team's guarantee */
+    unsigned missed; /* aims for its start */
+    double turn;     /* earlier goes first */
 };
 
 /* Whether the team stays within its guarantee with the job's waiting tasks. */
@@ -128,6 +129,9 @@
         return x->rank < y->rank ? -1 : 1;
     if (x->borrowing != y->borrowing)
         return x->borrowing ? 1 : -1;
+    /* Who can still be in time goes before who can't any more. That is bounded: nobody starves. */
+    if (x->missed != y->missed)
+        return x->missed < y->missed ? -1 : 1;
     if (x->turn != y->turn)
         return x->turn < y->turn ? -1 : 1;
     return x->run->job->place < y->run->job->place ? -1 : x->run->job->place > y->run->job->place;
@@ -165,6 +169,12 @@
     return starving ? OW_RANK_CRITICAL : (int)run->job->spec->submission->rank;
 }
 
+static unsigned missed_aims(struct ow_lead *lead, const struct ow_run *run)
+{
+    double age = lead->node->now - run->came_at;
+    return age > PROMOTION_S ? 0 : ow_class_missed(lead->node, run->job->spec->class_index, age);
+}
+
 static GArray *line(struct ow_lead *lead)
 {
     GArray *entries = g_array_new(FALSE, FALSE, sizeof(struct entry));
@@ -174,7 +184,7 @@
         struct ow_run *run = g_ptr_array_index(lead->runs, i);
         if (ow_run_pending(run) == 0 || run->ready_at > lead->node->now)
             continue;
-        struct entry e = {run, rank_in_line(lead, run), !guaranteed(lead, run),
+        struct entry e = {run, rank_in_line(lead, run), !guaranteed(lead, run), missed_aims(lead, run),
                           turn_of(lead, run, cpus, gpus)};
         g_array_append_val(entries, e);
     }
