--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -29,6 +29,7 @@
     uint64_t in_write;            /* serial of the write that carries its record */
     uint32_t mark;                /* of the last report that lists it */
     double placed_at, running_at; /* running_at 0: not yet seen running */
+    bool shielded;                /* its job starved: it is not stopped again for others */
     bool stop;
     double stop_grace_s, stop_at;
 };
@@ -70,12 +71,13 @@
     GPtrArray *attempts; /* that may exist */
     struct ow_chunk *chunks;
     uint32_t chunk_count;
-    uint32_t cursor;                    /* no pending task below it */
-    bool finishing;                     /* its last record is queued or under way */
-    double ready_at;                    /* not to be started before */
-    unsigned failures;                  /* in a row, on several machines */
-    double bad_until;                   /* bad_machines count no longer */
-    GHashTable *bad_machines;           /* machines where a task of it failed -> nothing */
+    uint32_t cursor;          /* no pending task below it */
+    bool finishing;           /* its last record is queued or under way */
+    bool starves;             /* it has waited too long for anything to start; of the pass at hand */
+    double ready_at;          /* not to be started before */
+    unsigned failures;        /* in a row, on several machines */
+    double bad_until;         /* bad_machines count no longer */
+    GHashTable *bad_machines; /* machines where a task of it failed -> nothing */
     struct ow_reservation *reservation; /* of a waiting gang; owned by reservation.c */
     double came_at;                     /* when this controller first saw the job, also before it led */
 };
--- a/src/core/preempt.c
+++ b/src/core/preempt.c
@@ -13,7 +13,7 @@
 static bool may_stop(const struct ow_lead *lead, const struct ow_spec *spec, const struct ow_attempt *at)
 {
     const struct ow_spec *other = at->job->spec;
-    if (at->session != at->machine->session)
+    if (at->session != at->machine->session || at->shielded)
         return false;
     if (other->submission->rank > spec->submission->rank)
         return true;
--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -163,16 +163,15 @@
     }
 }
 
-static int rank_in_line(const struct ow_lead *lead, const struct ow_run *run)
+static int rank_in_line(const struct ow_run *run)
 {
-    bool starving = run->attempts->len == 0 && run->done == 0 && lead->node->now - run->came_at > PROMOTION_S;
-    return starving ? OW_RANK_CRITICAL : (int)run->job->spec->submission->rank;
+    return run->starves ? OW_RANK_CRITICAL : (int)run->job->spec->submission->rank;
 }
 
 static unsigned missed_aims(struct ow_lead *lead, const struct ow_run *run)
 {
     double age = lead->node->now - run->came_at;
-    return age > PROMOTION_S ? 0 : ow_class_missed(lead->node, run->job->spec->class_index, age);
+    return run->starves ? 0 : ow_class_missed(lead->node, run->job->spec->class_index, age);
 }
 
 static GArray *line(struct ow_lead *lead)
@@ -184,7 +183,9 @@
         struct ow_run *run = g_ptr_array_index(lead->runs, i);
         if (ow_run_pending(run) == 0 || run->ready_at > lead->node->now)
             continue;
-        struct entry e = {run, rank_in_line(lead, run), !guaranteed(lead, run), missed_aims(lead, run),
+        run->starves =
+            run->attempts->len == 0 && run->done == 0 && lead->node->now - run->came_at > PROMOTION_S;
+        struct entry e = {run, rank_in_line(run), !guaranteed(lead, run), missed_aims(lead, run),
                           turn_of(lead, run, cpus, gpus)};
         g_array_append_val(entries, e);
     }
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -298,6 +298,99 @@
     end_world(w);
 }
 
+/* Hands in a job every `gap` seconds, more than there is room for, until the first of `id` runs. */
+static bool begins_under_load(struct world *w, const char *id, double gap,
+                              struct ow_submission *(*next)(int n))
+{
+    int n = 100;
+    for (double end = w->now + 240; w->now < end && world_running(w, id) == 0; n++) {
+        world_submit(w, n % WORLD_NODES, next(n));
+        world_run(w, gap);
+    }
+    return world_running(w, id) > 0;
+}
+
+static struct ow_submission *numbered(int n, uint32_t tasks, double cpus, bool is_gang, enum ow_rank rank)
+{
+    char id[16];
+    g_snprintf(id, sizeof id, "run-%d", n);
+    struct ow_submission *s = world_job(id, tasks, cpus);
+    s->gang = is_gang;
+    s->kind = is_gang ? OW_KIND_GANG : OW_KIND_ARRAY;
+    s->one_zone = is_gang;
+    s->rank = rank;
+    return s;
+}
+
+static struct ow_submission *small_gang(int n)
+{
+    return numbered(n, 1 + (uint32_t)n % 2, 16, true, OW_RANK_URGENT);
+}
+
+static struct ow_submission *small_array(int n)
+{
+    return numbered(n, 2, 8, false, OW_RANK_STANDARD);
+}
+
+static struct ow_submission *urgent_array(int n)
+{
+    return numbered(n, 2, 8, false, OW_RANK_URGENT);
+}
+
+static struct world *full_world(int machines)
+{
+    struct world *w = start_world();
+    for (int i = 0; i < machines; i++) {
+        char name[16];
+        g_snprintf(name, sizeof name, "m-%d", i);
+        world_add_machine(w, name, "big", "east", false);
+    }
+    world_run(w, 6);
+    return w;
+}
+
+/* Nobody starved: a gang that needs the whole zone, among small ones that would always find room before it.
+ */
+static void test_the_largest_gang_begins_under_load(void **state)
+{
+    (void)state;
+    struct world *w = full_world(4);
+    w->run_s = 10;
+    for (int n = 50; n < 60; n++)
+        world_submit(w, 0, small_gang(n));
+    world_run(w, 3);
+    world_submit(w, 0, numbered(1, 4, 16, true, OW_RANK_URGENT));
+    assert_true(begins_under_load(w, "run-1", 3, small_gang));
+    end_world(w);
+}
+
+/* An array is put off by its size, but not for ever. */
+static void test_the_largest_array_begins_under_load(void **state)
+{
+    (void)state;
+    struct world *w = full_world(2);
+    w->run_s = 5;
+    for (int n = 50; n < 60; n++)
+        world_submit(w, 0, small_array(n));
+    world_run(w, 1);
+    world_submit(w, 0, numbered(1, 2000, 8, false, OW_RANK_STANDARD));
+    assert_true(begins_under_load(w, "run-1", 1, small_array));
+    end_world(w);
+}
+
+static void test_the_least_urgent_begins_under_load(void **state)
+{
+    (void)state;
+    struct world *w = full_world(2);
+    w->run_s = 5;
+    for (int n = 50; n < 60; n++)
+        world_submit(w, 0, urgent_array(n));
+    world_run(w, 1);
+    world_submit(w, 0, numbered(1, 4, 8, false, OW_RANK_LOW));
+    assert_true(begins_under_load(w, "run-1", 1, urgent_array));
+    end_world(w);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -313,6 +406,9 @@
         cmocka_unit_test(test_a_lost_member_ends_the_attempt),
         cmocka_unit_test(test_limits_hold_for_arrays),
         cmocka_unit_test(test_a_large_array_runs_to_its_end),
+        cmocka_unit_test(test_the_largest_gang_begins_under_load),
+        cmocka_unit_test(test_the_largest_array_begins_under_load),
+        cmocka_unit_test(test_the_least_urgent_begins_under_load),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
