--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -268,6 +268,9 @@
     /* Room that others are stopped for must be taken, or they would be put there and stopped again. */
     if (fetch_s <= SHORT_FETCH_S || ow_run_claims(lead, run))
         return false;
+    /* However late it is, a fetch that takes twice as long as the work that is left helps nobody. */
+    if (2 * wait_s < fetch_s && !run->starves)
+        return true;
     if (dear && waits < BUSY_PATIENCE * slack && has_work_for_its_images(lead, run, m))
         return true;
     return (wait_s < fetch_s && waits < slack) || (dear && waits < IMAGE_PATIENCE * slack);
