--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -182,8 +182,9 @@
     bool *entitled, *borrows; /* by team index, of the pass at hand */
 
     struct ow_recorder *recorder;
-    GPtrArray *groups; /* struct ow_group */
-    bool dirty;        /* a scheduling pass is due */
+    GPtrArray *groups;   /* struct ow_group */
+    GArray *image_loads; /* by image; placement.c's, of the pass at hand */
+    bool dirty;          /* a scheduling pass is due */
     double pass_at;
 
     struct ow_bucket cloud;
@@ -315,6 +316,8 @@
 GArray *ow_place_rooms(const struct ow_lead *lead, const struct ow_run *run);
 /* Zones: how many more tasks the job's own rules admit in this zone, given what may exist. */
 uint32_t ow_place_zone_admits(const struct ow_run *run, int zone);
+GArray *ow_place_new_loads(void);
+void ow_place_weigh_images(struct ow_lead *lead);
 void ow_place_array(struct ow_lead *lead, struct ow_run *run);
 void ow_place_task(struct ow_lead *lead, struct ow_run *run, uint32_t task, uint64_t number,
                    struct ow_machine *m);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -9,8 +9,6 @@
 static const double SOUGHT_S = 15;
 /* The share of a class's slack that tasks may wait for a machine with their image, if a fetch is dear. */
 static const double IMAGE_PATIENCE = 0.9;
-/* The same while the machine has other work of the class to do meanwhile. */
-static const double BUSY_PATIENCE = 1.5;
 /* Estimates are rough: only a machine so much slower than expected counts as slow. */
 static const double SLOW = 1.7;
 /* Work without aims goes on dear machines only after it has waited so long for cheap ones. */
@@ -214,51 +212,69 @@
     return best;
 }
 
-/* Seconds of work that waits for an image. */
-static double work_for_image(struct ow_lead *lead, int image)
+/* What waits for an image, and the places where it is: weighed once a pass. */
+struct ow_image_load {
+    const struct ow_spec *spec; /* of one of the jobs that wait for it; NULL: none */
+    double work_s, slots;
+};
+
+static struct ow_image_load *load_of(struct ow_lead *lead, int image)
 {
-    double work = 0;
-    for (guint i = 0; i < lead->runs->len; i++) {
-        const struct ow_run *run = g_ptr_array_index(lead->runs, i);
-        if (run->job->spec->image == image && !run->job->spec->submission->gang)
-            work += ow_run_pending(run) * ow_class_run_s(lead->node, run->job->spec);
-    }
-    return work;
+    if (lead->image_loads->len <= (guint)image)
+        g_array_set_size(lead->image_loads, (guint)image + 1);
+    return &g_array_index(lead->image_loads, struct ow_image_load, image);
 }
 
-/* Places for tasks of the run on machines that have its image or fetch it, free or not. */
-static double slots_with_image(struct ow_lead *lead, const struct ow_run *run)
+GArray *ow_place_new_loads(void)
 {
-    const struct ow_spec *spec = run->job->spec;
-    double slots = 0;
+    return g_array_new(FALSE, TRUE, sizeof(struct ow_image_load));
+}
+
+void ow_place_weigh_images(struct ow_lead *lead)
+{
+    g_array_set_size(lead->image_loads, 0);
+    for (guint i = 0; i < lead->runs->len; i++) {
+        const struct ow_run *run = g_ptr_array_index(lead->runs, i);
+        const struct ow_spec *spec = run->job->spec;
+        uint32_t pending = spec->submission->gang ? 0 : ow_run_pending(run);
+        if (pending == 0)
+            continue;
+        struct ow_image_load *load = load_of(lead, spec->image);
+        load->spec = spec;
+        load->work_s += pending * ow_class_run_s(lead->node, spec);
+    }
     for (guint i = 0; i < lead->machines->len; i++) {
         const struct ow_machine *m = g_ptr_array_index(lead->machines, i);
-        if (ow_book_usable(lead, m) && ow_place_allowed(lead, spec, m) &&
-            ow_book_image(m, spec->image) != NULL)
-            slots += ow_place_whole(ow_machine_spec(lead, m), &spec->submission->need);
+        bool usable = ow_book_usable(lead, m);
+        for (guint k = 0; usable && k < m->images->len; k++) {
+            int image = g_array_index(m->images, struct ow_image_copy, k).image;
+            struct ow_image_load *load = load_of(lead, image);
+            /* Places on machines that have it or fetch it, free or not. */
+            if (load->spec != NULL && ow_place_allowed(lead, load->spec, m))
+                load->slots += ow_place_whole(ow_machine_spec(lead, m), &load->spec->submission->need);
+        }
     }
-    return slots;
 }
 
-/* Whether other work waits that the machine could start at once with the images it has. */
-static bool has_work_for_its_images(const struct ow_lead *lead, const struct ow_run *run,
-                                    const struct ow_machine *m)
+/* How long work of the class waits that the machine could start at once with the images it has; negative:
+   there is none. */
+static double wait_for_its_images(struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m)
 {
-    for (guint i = 0; i < lead->runs->len; i++) {
-        const struct ow_run *other = g_ptr_array_index(lead->runs, i);
-        const struct ow_spec *spec = other->job->spec;
-        const struct ow_image_copy *copy = other != run ? ow_book_image(m, spec->image) : NULL;
-        if (copy != NULL && copy->present && spec->class_index == run->job->spec->class_index &&
-            ow_run_pending(other) > 0 && ow_place_allowed(lead, spec, m))
-            return true;
+    double longest = -1;
+    for (guint i = 0; i < m->images->len; i++) {
+        const struct ow_image_copy *copy = &g_array_index(m->images, struct ow_image_copy, i);
+        const struct ow_image_load *load = load_of(lead, copy->image);
+        if (copy->present && copy->image != run->job->spec->image && load->spec != NULL &&
+            load->spec->class_index == run->job->spec->class_index && load->slots > 0)
+            longest = MAX(longest, load->work_s / load->slots);
     }
-    return false;
+    return longest;
 }
 
 /* A machine without the image is left alone while those that have it get through the work sooner than it
    could fetch the image, as long as the aims of the class leave the time. */
 static bool better_to_wait(struct ow_lead *lead, const struct ow_run *run, const struct ow_machine *m,
-                           double wait_s)
+                           double wait_s, bool starves)
 {
     double fetch_s = ow_book_fetch_s(lead, m, run->job->spec);
     double waits = lead->node->now - run->came_at + wait_s;
@@ -266,12 +282,14 @@
     /* A fetch that costs more than the work it serves is made only when the aims need it. */
     bool dear = fetch_s > ow_class_run_s(lead->node, run->job->spec);
     /* Room that others are stopped for must be taken, or they would be put there and stopped again. */
-    if (fetch_s <= SHORT_FETCH_S || ow_run_claims(lead, run))
+    if (fetch_s <= SHORT_FETCH_S || starves || ow_run_claims(lead, run))
         return false;
     /* However late it is, a fetch that takes twice as long as the work that is left helps nobody. */
-    if (2 * wait_s < fetch_s && !run->starves)
+    if (2 * wait_s < fetch_s)
         return true;
-    if (dear && waits < BUSY_PATIENCE * slack && has_work_for_its_images(lead, run, m))
+    /* Nor does one that takes the machine from work that waits as long for an image which it has. */
+    if (dear && wait_s < 2 * MAX(fetch_s, wait_for_its_images(lead, run, m)) &&
+        wait_for_its_images(lead, run, m) >= 0)
         return true;
     return (wait_s < fetch_s && waits < slack) || (dear && waits < IMAGE_PATIENCE * slack);
 }
@@ -284,7 +302,8 @@
     GArray *rooms = ow_place_rooms(lead, run);
     int only = run->job->spec->submission->one_zone ? best_zone(run, rooms) : OW_NO_NAME;
     uint32_t placed = 0;
-    double work = work_for_image(lead, run->job->spec->image), slots = slots_with_image(lead, run);
+    double work = load_of(lead, run->job->spec->image)->work_s;
+    double slots = load_of(lead, run->job->spec->image)->slots;
     uint64_t number = 0;
     for (uint32_t c = 0; c < run->chunk_count; c++)
         number = MAX(number, run->chunks[c].last_attempt + 1);
@@ -293,7 +312,8 @@
         if (only != OW_NO_NAME && room->machine->zone != only)
             continue;
         bool fetches = ow_book_image(room->machine, run->job->spec->image) == NULL;
-        if (fetches && slots > 0 && better_to_wait(lead, run, room->machine, work / slots))
+        if (fetches && slots > 0 &&
+            better_to_wait(lead, run, room->machine, work / slots, run->starves && placed == 0))
             continue;
         if (fetches)
             slots += ow_place_whole(ow_machine_spec(lead, room->machine), &run->job->spec->submission->need);
--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -263,6 +263,7 @@
 {
     judge_teams(lead);
     keep_gpus(lead);
+    ow_place_weigh_images(lead);
     clear_held(lead);
     GPtrArray *runs = ow_schedule_line(lead);
     uint64_t firm_zones = 0;
