--- a/src/core/care.c
+++ b/src/core/care.c
@@ -80,18 +80,6 @@
     return deaf <= DEAF_FEW || deaf <= lead->machines->len / 4;
 }
 
-/* What can't be started where it should leaves the rest of its gang waiting: another attempt is better. */
-static void free_gangs(struct ow_lead *lead, struct ow_machine *m)
-{
-    for (guint i = m->attempts->len; i > 0; i--) {
-        if (i > m->attempts->len)
-            continue;
-        struct ow_attempt *at = g_ptr_array_index(m->attempts, i - 1);
-        if (at->job->spec->submission->gang && at->state == OW_AT_SENT && !at->stop)
-            ow_run_stop(lead, at->job->run, 0, "a machine of the gang does not hear us");
-    }
-}
-
 /* Rule 7: what could still run of a cancelled job is ended by returning its machine, if nothing else works.
  */
 static void pursue_cancelled(struct ow_lead *lead, struct ow_machine *m)
@@ -142,8 +130,6 @@
         /* Recorded tasks on a machine not yet fenced, or orders that found no ear: try its own address. */
         if ((!m->fenced || m->unheard_since > 0) && m->addr != NULL && m->listed != OW_LISTED_BOOTING)
             m->direct_wanted = true;
-        if (m->unheard_since > 0)
-            free_gangs(lead, m);
         /* A faulty machine is given back; a sound one is rented in its place if it is missed. */
         if (lead->node->now < m->quarantine_until && m->attempts->len == 0)
             ow_fleet_delete(lead, m, "it is faulty");
--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -331,7 +331,7 @@
 void ow_reservation_forget(struct ow_reservation *reservation, const struct ow_machine *m);
 void ow_reservation_free(struct ow_reservation *reservation);
 /* Books the standing holds of a run against the machines, for jobs behind it in line. */
-void ow_reservation_book(const struct ow_lead *lead, struct ow_run *run, uint64_t *firm_zones);
+void ow_reservation_book(const struct ow_run *run);
 
 /* preempt.c */
 /* Slots for the job on a machine if all work that may be stopped for it went. */
--- a/src/core/reservation.c
+++ b/src/core/reservation.c
@@ -7,8 +7,6 @@
 
 #include <math.h>
 
-/* How long a gang waits before what it holds is its own. */
-static const double FIRM_S = 45;
 static const double STOPS_GAP_S = 0.5;
 
 struct pick {
@@ -295,33 +293,17 @@
     g_array_free(rooms, TRUE);
 }
 
-/* A gang behind in line that can start at once may take room from one that is short and has not waited long:
-   a held room is taken if there is no other, and a large gang would else idle a zone while it fills. What a
-   gang has waited for so long, or stops work for, is its own; of those that have waited long the first in
-   each zone, since two that fill the same zone keep each other waiting. */
-static bool firm(const struct ow_lead *lead, const struct ow_run *run, uint64_t *firm_zones)
-{
-    const struct ow_reservation *r = run->reservation;
-    if (r->stops)
-        return true;
-    if (r->holds->len == 0 || lead->node->now - run->came_at < FIRM_S)
-        return false;
-    int zone = g_array_index(r->holds, struct ow_hold, 0).machine->zone;
-    uint64_t bit = UINT64_C(1) << (zone & 63);
-    bool first = (*firm_zones & bit) == 0;
-    *firm_zones |= bit;
-    return first;
-}
-
-void ow_reservation_book(const struct ow_lead *lead, struct ow_run *run, uint64_t *firm_zones)
+/* A gang behind in line that can start at once may take room from one that is short: a held room is taken if
+   there is no other, and a large gang would else idle a zone while it fills. Only what work is stopped for is
+   a gang's own; and in the line one that has waited long stands before those that might pass it. */
+void ow_reservation_book(const struct ow_run *run)
 {
     if (run->reservation == NULL)
         return;
     const struct ow_amounts *need = &run->job->spec->submission->need;
-    bool is_firm = firm(lead, run, firm_zones);
     for (guint i = 0; i < run->reservation->holds->len; i++) {
         const struct ow_hold *h = &g_array_index(run->reservation->holds, struct ow_hold, i);
         if (h->picked)
-            ow_amounts_add(is_firm ? &h->machine->held : &h->machine->held_softly, need, 1);
+            ow_amounts_add(run->reservation->stops ? &h->machine->held : &h->machine->held_softly, need, 1);
     }
 }
--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -266,14 +266,13 @@
     ow_place_weigh_images(lead);
     clear_held(lead);
     GPtrArray *runs = ow_schedule_line(lead);
-    uint64_t firm_zones = 0;
     for (guint i = 0; i < runs->len; i++) {
         struct ow_run *run = g_ptr_array_index(runs, i);
         if (i > 0 && rank_of(run) != rank_of(g_ptr_array_index(runs, i - 1)))
             harden_held(lead);
         if (run->job->spec->submission->gang) {
             ow_reservation_try(lead, run);
-            ow_reservation_book(lead, run, &firm_zones);
+            ow_reservation_book(run);
         } else {
             ow_place_array(lead, run);
             if (ow_run_pending(run) > 0)
