--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -73,6 +73,7 @@
     uint32_t chunk_count;
     uint32_t cursor;          /* no pending task below it */
     bool finishing;           /* its last record is queued or under way */
+    bool aged;                /* it is old, begun or not; of the pass at hand */
     bool starves;             /* it has waited too long for anything to start; of the pass at hand */
     double ready_at;          /* not to be started before */
     unsigned failures;        /* in a row, on several machines */
--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -3,9 +3,10 @@
 
 /* How far the size of an array counts against its age. */
 static const double SIZE_WEIGHT = 5;
-/* Nobody starves: the size of an array puts it off no longer than this, and a job of which nothing has
-   started for so long goes to the front of the line. Nothing is stopped for that. */
-static const double PUT_OFF_MOST_S = 60, PROMOTION_S = 100;
+/* Nobody starves: the size of an array puts it off no longer than this; a job of which nothing has started
+   for so long, or that is not through after so long, goes to the front of the line. Nothing is stopped for
+   that, nor what it then starts for others. */
+static const double PUT_OFF_MOST_S = 60, PROMOTION_S = 100, AGED_S = 200;
 static void settle(struct ow_lead *lead, struct ow_job *job)
 {
     struct ow_run *run = ow_run_get(lead, job);
@@ -163,9 +164,16 @@
     }
 }
 
+static void judge_age(const struct ow_lead *lead, struct ow_run *run)
+{
+    double age = lead->node->now - run->came_at;
+    run->starves = run->attempts->len == 0 && run->done == 0 && age > PROMOTION_S;
+    run->aged = age > AGED_S;
+}
+
 static int rank_in_line(const struct ow_run *run)
 {
-    return run->starves ? OW_RANK_CRITICAL : (int)run->job->spec->submission->rank;
+    return run->starves || run->aged ? OW_RANK_CRITICAL : (int)run->job->spec->submission->rank;
 }
 
 static unsigned missed_aims(struct ow_lead *lead, const struct ow_run *run)
@@ -183,8 +191,7 @@
         struct ow_run *run = g_ptr_array_index(lead->runs, i);
         if (ow_run_pending(run) == 0 || run->ready_at > lead->node->now)
             continue;
-        run->starves =
-            run->attempts->len == 0 && run->done == 0 && lead->node->now - run->came_at > PROMOTION_S;
+        judge_age(lead, run);
         struct entry e = {run, rank_in_line(run), !guaranteed(lead, run), missed_aims(lead, run),
                           turn_of(lead, run, cpus, gpus)};
         g_array_append_val(entries, e);
@@ -244,7 +251,7 @@
     }
 }
 
-/* Less urgent gangs take nothing from more urgent ones. */
+/* Gangs take nothing from those of a rank before their own in the line. */
 static void harden_held(struct ow_lead *lead)
 {
     for (guint i = 0; i < lead->machines->len; i++) {
@@ -254,11 +261,6 @@
     }
 }
 
-static int rank_of(const struct ow_run *run)
-{
-    return (int)run->job->spec->submission->rank;
-}
-
 void ow_schedule_pass(struct ow_lead *lead)
 {
     judge_teams(lead);
@@ -268,7 +270,7 @@
     GPtrArray *runs = ow_schedule_line(lead);
     for (guint i = 0; i < runs->len; i++) {
         struct ow_run *run = g_ptr_array_index(runs, i);
-        if (i > 0 && rank_of(run) != rank_of(g_ptr_array_index(runs, i - 1)))
+        if (i > 0 && rank_in_line(run) != rank_in_line(g_ptr_array_index(runs, i - 1)))
             harden_held(lead);
         if (run->job->spec->submission->gang) {
             ow_reservation_try(lead, run);
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -304,7 +304,7 @@
 {
     int n = 100;
     for (double end = w->now + 240; w->now < end && world_running(w, id) == 0; n++) {
-        world_submit(w, n % WORLD_NODES, next(n));
+        world_submit(w, 0, next(n));
         world_run(w, gap);
     }
     return world_running(w, id) > 0;
@@ -324,7 +324,7 @@
 
 static struct ow_submission *small_gang(int n)
 {
-    return numbered(n, 1 + (uint32_t)n % 2, 16, true, OW_RANK_URGENT);
+    return numbered(n, 1, 16, true, OW_RANK_URGENT);
 }
 
 static struct ow_submission *small_array(int n)
@@ -401,11 +401,13 @@
     (void)state;
     struct world *w = full_world(4);
     w->run_s = 10;
-    for (int n = 50; n < 60; n++)
+    /* Staggered: one machine comes free at a time, and there is always somebody to take it. */
+    for (int n = 50; n < 56; n++) {
         world_submit(w, 0, small_gang(n));
-    world_run(w, 3);
+        world_run(w, 2.4);
+    }
     world_submit(w, 0, numbered(1, 4, 16, true, OW_RANK_URGENT));
-    assert_true(begins_under_load(w, "run-1", 3, small_gang));
+    assert_true(begins_under_load(w, "run-1", 2.4, small_gang));
     end_world(w);
 }
 
@@ -421,7 +423,7 @@
     world_submit(w, 0, numbered(1, 60, 8, false, OW_RANK_STANDARD));
     assert_true(begins_under_load(w, "run-1", 1, small_array));
     for (int n = 1000; n < 1250 && !world_all_done(w, "run-1"); n++) {
-        world_submit(w, n % WORLD_NODES, small_array(n));
+        world_submit(w, 0, small_array(n));
         world_run(w, 1);
     }
     assert_true(world_all_done(w, "run-1"));
