--- a/src/io/client.c
+++ b/src/io/client.c
@@ -38,7 +38,7 @@
 {
     struct exchange x = {.body = answer};
     struct ow_loop *loop = ow_loop_new();
-    struct ow_http_client *client = ow_http_client_new(loop, take_answer, &x);
+    struct ow_http_client *client = ow_http_client_new(loop, 1, take_answer, &x);
     ow_http_client_send(client, server, method, path, body, TIMEOUT_S, 1);
     while (!x.ended)
         ow_loop_once(loop, sweep, client);
--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -28,7 +28,8 @@
     struct ow_loop *loop;
     ow_http_reply_fn reply;
     void *owner;
-    GPtrArray *calls; /* connections, busy and idle */
+    GPtrArray *calls;  /* connections, busy and idle */
+    unsigned max_kept; /* with more than these open, idle ones are closed */
 };
 
 static void free_call(struct call *call)
@@ -146,10 +147,12 @@
     return call;
 }
 
-struct ow_http_client *ow_http_client_new(struct ow_loop *loop, ow_http_reply_fn reply, void *owner)
+struct ow_http_client *ow_http_client_new(struct ow_loop *loop, unsigned max_kept, ow_http_reply_fn reply,
+                                          void *owner)
 {
     struct ow_http_client *client = g_new0(struct ow_http_client, 1);
     client->loop = loop;
+    client->max_kept = max_kept;
     client->reply = reply;
     client->owner = owner;
     client->calls = g_ptr_array_new();
@@ -188,8 +191,19 @@
         call->deadline = 0; /* the sweep reports it */
 }
 
+/* Connections to many machines must not use up the sockets that reports need. */
+static void close_surplus(struct ow_http_client *client)
+{
+    for (guint i = client->calls->len; i > 0 && client->calls->len > client->max_kept; i--) {
+        struct call *call = g_ptr_array_index(client->calls, i - 1);
+        if (!call->busy)
+            free_call(call);
+    }
+}
+
 void ow_http_client_sweep(struct ow_http_client *client, double now)
 {
+    close_surplus(client);
     for (guint i = client->calls->len; i > 0; i--) {
         if (i > client->calls->len)
             continue;
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -12,7 +12,8 @@
 /* Status 0: no response; the request might have been carried out. */
 typedef void (*ow_http_reply_fn)(void *owner, uint64_t tag, int status, const char *body, size_t size);
 
-struct ow_http_client *ow_http_client_new(struct ow_loop *loop, ow_http_reply_fn reply, void *owner);
+struct ow_http_client *ow_http_client_new(struct ow_loop *loop, unsigned max_kept, ow_http_reply_fn reply,
+                                          void *owner);
 void ow_http_client_free(struct ow_http_client *client);
 /* `body` may be NULL. The reply never comes from inside this call. */
 void ow_http_client_send(struct ow_http_client *client, const char *endpoint, const char *method,
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -10,6 +10,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* A connection that has said something so lately is not dropped for another. */
+static const double QUIET_S = 1;
+
 struct connection {
     struct ow_http_server *server;
     struct ow_watch watch;
@@ -203,6 +206,22 @@
         close_connection(c);
 }
 
+/* Room for a new connection at the cost of the one that has been quiet for longest. Workers report every few
+   seconds: it is never theirs while anybody else's stands idle. */
+static bool drop_quietest(struct ow_http_server *server)
+{
+    struct connection *quietest = NULL;
+    for (guint i = 0; i < server->slots->len; i++) {
+        struct connection *c = g_ptr_array_index(server->slots, i);
+        if (c != NULL && !c->waiting && (quietest == NULL || c->active_at < quietest->active_at))
+            quietest = c;
+    }
+    if (quietest == NULL || ow_loop_now(server->loop) - quietest->active_at < QUIET_S)
+        return false;
+    close_connection(quietest);
+    return true;
+}
+
 static void listener_ready(void *owner, uint32_t events)
 {
     struct ow_http_server *server = owner;
@@ -212,7 +231,7 @@
         if (fd < 0)
             return;
         /* Past the bound a connection is refused at once, so that the load balancer moves on. */
-        if (server->count >= server->max_connections)
+        if (server->count >= server->max_connections && !drop_quietest(server))
             close(fd);
         else
             add_connection(server, fd);
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -15,7 +15,10 @@
 
 static const double STATE_TIMEOUT_S = 1.5, CLOUD_TIMEOUT_S = 8, DIRECT_TIMEOUT_S = 3, SWEEP_S = 0.1,
                     IDLE_S = 60;
-enum { BODY_LIMIT = 64 * 1024, SPARE_SOCKETS = 160 };
+enum { BODY_LIMIT = 64 * 1024, SPARE_SOCKETS = 60, SOCKETS_LEAST = 200 };
+/* The share of the sockets that connections of our own may keep: each machine reports on one of its, and may
+   have one of ours for orders. */
+static const double OWN_SOCKETS = 0.3;
 
 /* What a request to the outside was, until its answer comes. */
 struct asked {
@@ -297,10 +300,11 @@
                                   const struct ow_rules *rules, char **fault)
 {
     struct ow_service *s = g_new0(struct ow_service, 1);
+    unsigned sockets = MAX(settings->sockets, SOCKETS_LEAST), own = (unsigned)(OWN_SOCKETS * sockets);
     struct ow_http_server_options options = {
         .endpoint = settings->front,
         .body_limit = BODY_LIMIT,
-        .max_connections = MAX(settings->sockets, SPARE_SOCKETS * 2) - SPARE_SOCKETS,
+        .max_connections = sockets - own - SPARE_SOCKETS,
         .idle_s = IDLE_S,
     };
     s->loop = loop;
@@ -308,7 +312,7 @@
     s->asked = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     s->server = ow_http_server_new(loop, &options, handle, s);
     s->peers = ow_peer_links_new(loop, settings->peer_listen, take_peer, take_lost, s);
-    s->client = ow_http_client_new(loop, take_answer, s);
+    s->client = ow_http_client_new(loop, own, take_answer, s);
     s->core = ow_core_new(settings, rules, ow_rng_nonce());
     if (s->server == NULL || s->peers == NULL) {
         *fault = g_strdup_printf("cannot listen on %s",
--- a/tests/test_sockets.c
+++ b/tests/test_sockets.c
@@ -55,7 +55,7 @@
     b->body = g_string_new(NULL);
     b->server = ow_http_server_new(b->loop, &options, handle, b);
     assert_non_null(b->server);
-    b->client = ow_http_client_new(b->loop, take, b);
+    b->client = ow_http_client_new(b->loop, 64, take, b);
 }
 
 static void close_bench(struct bench *b)
@@ -165,6 +165,34 @@
     close_bench(&b);
 }
 
+/* Where connections run out the one that is quiet for longest makes room: a worker's that reports is never
+ * it. */
+static void test_quiet_connections_make_room(void **state)
+{
+    (void)state;
+    static const char request[] = "POST /echo HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi";
+    struct bench b;
+    int fds[4];
+    char bytes[256];
+    open_bench(&b);
+    for (int i = 0; i < 4; i++)
+        fds[i] = ow_net_connect(endpoint);
+    for (int i = 0; i < 120; i++)
+        ow_loop_once(b.loop, round_, &b);
+    /* The first reports; the others have been silent for more than a second. */
+    assert_true(send(fds[0], request, strlen(request), 0) > 0);
+    for (int i = 0; i < 5; i++)
+        ow_loop_once(b.loop, round_, &b);
+    ow_http_client_send(b.client, endpoint, "POST", "/echo", "new", 3, 7);
+    run_until_reply(&b, 1);
+    assert_int_equal(b.status, 200);
+    assert_true(recv(fds[0], bytes, sizeof bytes, 0) > 0);
+    assert_true(recv(fds[0], bytes, sizeof bytes, 0) < 0 && errno == EAGAIN);
+    for (int i = 0; i < 4; i++)
+        close(fds[i]);
+    close_bench(&b);
+}
+
 static int run_program(const char *arguments, char **out, char **err)
 {
     char *line = g_strdup_printf("%s %s", g_getenv("OSPREYWELL"), arguments);
@@ -206,6 +234,7 @@
         cmocka_unit_test(test_time_out_and_refusal),
         cmocka_unit_test(test_malformed_requests_are_told_and_closed),
         cmocka_unit_test(test_connections_are_bounded),
+        cmocka_unit_test(test_quiet_connections_make_room),
         cmocka_unit_test(test_the_command_line),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
