--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -6,7 +6,7 @@
 /* Nobody starves: the size of an array puts it off no longer than this; a job of which nothing has started
    for so long, or that is not through after so long, goes to the front of the line. Nothing is stopped for
    that, nor what it then starts for others. */
-static const double PUT_OFF_MOST_S = 60, PROMOTION_S = 100, AGED_S = 200;
+static const double PUT_OFF_MOST_S = 60, PROMOTION_S = 120, AGED_S = 220;
 static void settle(struct ow_lead *lead, struct ow_job *job)
 {
     struct ow_run *run = ow_run_get(lead, job);
