--- a/src/core/lead.c
+++ b/src/core/lead.c
@@ -5,7 +5,8 @@
 
 #include <string.h>
 
-static const double PASS_GAP_S = 0.1, PASS_LEAST_S = 1, CARE_S = 0.5, SUMMARY_S = 1.5, TYPES_S = 60;
+static const double PASS_GAP_S = 0.1, PASS_LEAST_S = 1, CARE_S = 0.5, SUMMARY_S = 1.5, HINTS_S = 5,
+                    TYPES_S = 60;
 /* So many reports missed by all machines, and a fresh word of a peer that they come to it. */
 static const double LOST_REPORTS = 2.5, LOST_WORD_S = 3;
 /* One machine alone may be at fault itself. */
@@ -188,6 +189,9 @@
     if (now >= lead->summary_at) {
         lead->summary_at = now + SUMMARY_S;
         tell_summary(lead);
+    }
+    if (now >= lead->hints_at) {
+        lead->hints_at = now + HINTS_S;
         tell_machines(lead);
     }
 }
--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -189,7 +189,7 @@
     double pass_at;
 
     struct ow_bucket cloud;
-    double list_at, types_at, rent_at, summary_at, care_at;
+    double list_at, types_at, rent_at, summary_at, hints_at, care_at;
     bool listing, listed_once, types_busy;
     char *list_after;
     unsigned rentals;
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -124,8 +124,8 @@
     struct ow_job *job = run->job;
     ow_recorder_forget(lead, run);
     ow_reservation_free(run->reservation);
-    while (run->attempts->len > 0)
-        ow_attempt_unload(lead, g_ptr_array_index(run->attempts, 0));
+    for (guint i = run->attempts->len; i > 0; i--)
+        ow_attempt_unload(lead, g_ptr_array_index(run->attempts, i - 1));
     g_ptr_array_free(run->attempts, TRUE);
     g_hash_table_destroy(run->bad_machines);
     g_free(run->chunks);
