--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -263,8 +263,6 @@
 /* reports.c */
 /* The machine that reports, or NULL if it is gone and this is a late copy. */
 struct ow_machine *ow_reports_take(struct ow_lead *lead, const struct ow_report *report, GArray *clears);
-/* The worker has lost its memory: nothing of what it had is left. */
-void ow_reports_begin_anew(struct ow_lead *lead, struct ow_machine *m);
 
 /* recorder.c */
 struct ow_recorder *ow_recorder_new(struct ow_lead *lead);
--- a/src/core/orders.c
+++ b/src/core/orders.c
@@ -42,10 +42,9 @@
     return orders;
 }
 
-/* To whom an order went, and the newest that was known of it then. */
+/* To whom an order went, and when. */
 struct direct {
     char *machine;
-    uint64_t session, seq;
     double sent_at;
 };
 
@@ -56,22 +55,12 @@
     g_free(d);
 }
 
-/* Numbers of a worker only grow, and it has answered an order that left after the larger one was known. */
-static bool has_lost_memory(const struct direct *d, const struct ow_report *report)
-{
-    return report->session < d->session || (report->session == d->session && report->seq <= d->seq);
-}
-
-static void take_direct_answer(struct ow_lead *lead, struct ow_machine *m, const struct direct *d,
-                               const struct ow_command *answer)
+static void take_direct_answer(struct ow_lead *lead, struct ow_machine *m, const struct ow_command *answer)
 {
     g_array_set_size(m->direct_starts, 0);
     m->unheard_since = 0;
-    if (answer->report != NULL) {
-        if (has_lost_memory(d, answer->report) && answer->report->session <= m->session)
-            ow_reports_begin_anew(lead, m);
+    if (answer->report != NULL)
         ow_reports_take(lead, answer->report, NULL);
-    }
     if (answer->status == 409)
         m->direct_at = lead->node->now + 0.5;
 }
@@ -89,7 +78,7 @@
     }
     m->direct_busy = false;
     if (answer->status == 200 || answer->status == 409) {
-        take_direct_answer(lead, m, d, answer);
+        take_direct_answer(lead, m, answer);
         return;
     }
     /* No answer: these launches may be carried out minutes later, for as long as the session lasts. */
@@ -106,7 +95,7 @@
 {
     struct ow_effect *e = ow_effect_new(OW_EFFECT_DIRECT, 0);
     struct direct *d = g_new0(struct direct, 1);
-    *d = (struct direct){g_strdup(m->name), m->session, m->seq, lead->node->now};
+    *d = (struct direct){g_strdup(m->name), lead->node->now};
     m->direct_wanted = false;
     m->direct_busy = true;
     e->orders = ow_orders_for(lead, m, m->direct_starts);
--- a/src/core/reports.c
+++ b/src/core/reports.c
@@ -189,13 +189,10 @@
     if (g_hash_table_contains(lead->returned, report->machine))
         return NULL;
     struct ow_machine *m = ow_book_get(lead, report->machine);
-    /* A late copy says nothing about now, renews nothing, and a session proven over is over. It may also be
-       the word of a worker that has lost its memory: an answer of its own to an order of ours tells. */
+    /* A late copy says nothing about now, renews nothing, and a session proven over is over. */
     if (report->session < m->session || (report->session == m->session && report->seq <= m->seq) ||
-        report->session <= m->dead_session) {
-        m->direct_wanted = m->direct_wanted || lead->phase == OW_LEAD_READY;
+        report->session <= m->dead_session)
         return m;
-    }
     ow_book_describe(lead, m, report->addr, report->type, report->zone, report->spot);
     take_session(lead, m, report);
     if (report->token != lead->token || lead->phase != OW_LEAD_READY) {
@@ -213,13 +210,3 @@
     take_absent(lead, m);
     return m;
 }
-
-void ow_reports_begin_anew(struct ow_lead *lead, struct ow_machine *m)
-{
-    g_info("machine %s has begun anew", m->name);
-    while (m->attempts->len > 0)
-        ow_attempt_end(lead, g_ptr_array_index(m->attempts, 0), OW_CAUSE_NONE, "its machine has begun anew");
-    g_array_set_size(m->floating, 0);
-    m->session = m->seq = m->dead_session = 0;
-    m->fenced = false;
-}
