--- a/src/core/book.c
+++ b/src/core/book.c
@@ -72,8 +72,7 @@
        is about to be taken, or is being returned. */
     return m->fenced && m->session > m->dead_session && ow_machine_spec(lead, m) != NULL && m->addr != NULL &&
            now - m->seen_at < 2.5 * lead->node->settings->report_s && m->unheard_since == 0 &&
-           m->lost_at == 0 && !m->deleting && !m->draining &&
-           now >= MAX(m->quarantine_until, m->suspect_until);
+           m->lost_at == 0 && !m->deleting && now >= MAX(m->quarantine_until, m->suspect_until);
 }
 
 bool ow_book_is_floating(const struct ow_machine *m, const struct ow_job *job, uint32_t task, uint64_t number)
--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -129,7 +129,7 @@
     bool gpus_kept;       /* waiting work needs its GPUs: not for work without need of them */
     double slowness;      /* run time against the estimate's, as seen; 1: as expected */
     double idle_since;
-    bool draining, deleting;
+    bool deleting;
     double delete_at;              /* the next try */
     struct ow_amounts held;        /* scratch of the scheduling pass: kept from everybody behind in line */
     struct ow_amounts held_softly; /* the same, but gangs that can start at once may take it */
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -288,8 +288,8 @@
     if (2 * wait_s < fetch_s)
         return true;
     /* Nor does one that takes the machine from work that waits as long for an image which it has. */
-    if (dear && wait_s < 2 * MAX(fetch_s, wait_for_its_images(lead, run, m)) &&
-        wait_for_its_images(lead, run, m) >= 0)
+    double others_wait_s = wait_for_its_images(lead, run, m);
+    if (dear && others_wait_s >= 0 && wait_s < 2 * MAX(fetch_s, others_wait_s))
         return true;
     return (wait_s < fetch_s && waits < slack) || (dear && waits < IMAGE_PATIENCE * slack);
 }
--- a/src/core/rent_state.h
+++ b/src/core/rent_state.h
@@ -12,7 +12,7 @@
 
 /* rent.c */
 /* The cheapest kind of machine for the job that has not been refused lately. `waits`: how long the
-   job would wait without it; `proper`: no GPUs for work that needs none; `cheap`: spot alone. */
+   job would wait without it; `proper`: no machine whose GPUs would be wasted on it; `cheap`: spot alone. */
 bool ow_rent_best_kind(const struct ow_lead *lead, const struct ow_spec *spec, double waits, bool proper,
                        bool cheap, struct ow_coming *out);
 /* Whether a machine with GPUs would be too dear for work without need of them. */
