--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -7,6 +7,9 @@
    for so long, or that is not through after so long, goes to the front of the line. Nothing is stopped for
    that, nor what it then starts for others. */
 static const double PUT_OFF_MOST_S = 60, PROMOTION_S = 120, AGED_S = 220;
+/* By then a job is to have begun, its image fetched: a large image brings its job forward, but not at once.
+ */
+static const double BEGIN_S = 220, PROMOTION_LEAST_S = 40;
 static void settle(struct ow_lead *lead, struct ow_job *job)
 {
     struct ow_run *run = ow_run_get(lead, job);
@@ -48,12 +51,14 @@
 /* The share of tasks that are taken to fetch their image first. */
 static const double FETCH_SHARE = 0.5;
 
+/* Seconds that the slowest machine which fits the job takes to fetch its image. */
 static double fetch_s(const struct ow_lead *lead, const struct ow_spec *spec)
 {
     double slowest = 0;
     for (int i = 0; i < OW_MAX_TYPES; i++) {
         const struct ow_machine_type *t = lead->node->types[i];
-        if (t != NULL && t->size.gpus > 0 && t->fetch_gb_per_s > 0 && (spec->types & (UINT64_C(1) << i)) != 0)
+        if (t != NULL && t->fetch_gb_per_s > 0 && (spec->types & (UINT64_C(1) << i)) != 0 &&
+            ow_place_whole(t, &spec->submission->need) > 0)
             slowest = MAX(slowest, spec->submission->image_gb / t->fetch_gb_per_s);
     }
     return slowest;
@@ -167,7 +172,8 @@
 static void judge_age(const struct ow_lead *lead, struct ow_run *run)
 {
     double age = lead->node->now - run->came_at;
-    run->starves = run->attempts->len == 0 && run->done == 0 && age > PROMOTION_S;
+    double patience = CLAMP(BEGIN_S - fetch_s(lead, run->job->spec), PROMOTION_LEAST_S, PROMOTION_S);
+    run->starves = run->attempts->len == 0 && run->done == 0 && age > patience;
     run->aged = age > AGED_S;
 }
 
