--- a/tests/test_isolation.c
+++ b/tests/test_isolation.c
@@ -58,6 +58,23 @@
     world_finish(w);
 }
 
+/* From the first order that finds no answer on, it gets nothing more, long before it is returned. */
+static void test_a_deaf_machine_gets_nothing_more(void **state)
+{
+    (void)state;
+    struct world *w = start_world(2);
+    struct world_machine *deaf = start_long_job(w);
+    deaf->deaf = true;
+    w->run_s = 1;
+    world_submit(w, 0, world_job("run-2", 1, 1)); /* fits best beside the other */
+    world_run(w, 5);
+    assert_false(deaf->gone);
+    world_submit(w, 0, world_job("run-3", 1, 1));
+    assert_true(world_until(w, 4, world_all_done, "run-3"));
+    assert_false(deaf->gone);
+    world_finish(w);
+}
+
 static void test_a_deaf_machine_at_a_take_over(void **state)
 {
     (void)state;
@@ -323,6 +340,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_a_deaf_machine_is_given_nothing_and_returned),
+        cmocka_unit_test(test_a_deaf_machine_gets_nothing_more),
         cmocka_unit_test(test_a_deaf_machine_at_a_take_over),
         cmocka_unit_test(test_a_cancelled_task_on_a_deaf_machine),
         cmocka_unit_test(test_a_late_copy_renews_nothing),
