--- a/src/core/book.c
+++ b/src/core/book.c
@@ -65,14 +65,19 @@
     lead->dirty = true;
 }
 
+bool ow_book_heard_lately(const struct ow_lead *lead, const struct ow_machine *m)
+{
+    return lead->node->now - m->seen_at < 2.5 * lead->node->settings->report_s;
+}
+
 bool ow_book_usable(const struct ow_lead *lead, const struct ow_machine *m)
 {
     double now = lead->node->now;
     /* No launch before its report under our own token, nor on one that has fallen silent or does not hear us,
        is about to be taken, or is being returned. */
     return m->fenced && m->session > m->dead_session && ow_machine_spec(lead, m) != NULL && m->addr != NULL &&
-           now - m->seen_at < 2.5 * lead->node->settings->report_s && m->unheard_since == 0 &&
-           m->lost_at == 0 && !m->deleting && now >= MAX(m->quarantine_until, m->suspect_until);
+           ow_book_heard_lately(lead, m) && m->unheard_since == 0 && m->lost_at == 0 && !m->deleting &&
+           now >= MAX(m->quarantine_until, m->suspect_until);
 }
 
 bool ow_book_is_floating(const struct ow_machine *m, const struct ow_job *job, uint32_t task, uint64_t number)
--- a/src/core/care.c
+++ b/src/core/care.c
@@ -66,8 +66,7 @@
     double deaf = deaf_s(lead, m), lease = lead->node->settings->lease_s;
     if (deaf > (m->attempts->len > 0 ? lease + 5 : 3 * lease))
         ow_fleet_delete(lead, m, "it does not hear us, and its tasks can't be accounted for");
-    else if (m->fenced && deaf > DEAF_S &&
-             lead->node->now - m->seen_at < 2.5 * lead->node->settings->report_s)
+    else if (m->fenced && deaf > DEAF_S && ow_book_heard_lately(lead, m))
         ow_fleet_delete(lead, m, "it reports but does not hear us");
 }
 
--- a/src/core/lead.c
+++ b/src/core/lead.c
@@ -56,8 +56,7 @@
 {
     struct ow_effect *e = ow_effect_new(OW_EFFECT_ORDERS, request);
     GArray *clears = g_array_new(FALSE, FALSE, sizeof(struct ow_order));
-    const struct ow_machine *known = ow_reports_take(lead, report, clears);
-    struct ow_machine *m = known != NULL ? ow_book_find(lead, report->machine) : NULL;
+    struct ow_machine *m = ow_reports_take(lead, report, clears);
     e->token = lead->token;
     bool current = m != NULL && m->fenced && report->token == lead->token && report->session == m->session &&
                    report->seq == m->seq && lead->phase == OW_LEAD_READY;
--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -246,6 +246,8 @@
                       const char *zone, bool spot);
 /* The machine is gone for good: every attempt on it is, too. */
 void ow_book_remove(struct ow_lead *lead, struct ow_machine *m, const char *proof);
+/* Whether a message of it came within the time of a report or two. */
+bool ow_book_heard_lately(const struct ow_lead *lead, const struct ow_machine *m);
 /* Whether new tasks may be put on it now. */
 bool ow_book_usable(const struct ow_lead *lead, const struct ow_machine *m);
 bool ow_book_is_floating(const struct ow_machine *m, const struct ow_job *job, uint32_t task,
--- a/src/core/recorder.c
+++ b/src/core/recorder.c
@@ -150,7 +150,7 @@
 static void put_group(struct ow_lead *lead, struct ow_write *w, struct ow_store_request *txn)
 {
     struct ow_group *g = w->group, *moved = NULL;
-    char *key = group_key(g), *value = ow_pack_value(lead, g, &moved);
+    char *value = ow_pack_value(lead, g, &moved);
     if (moved != NULL) {
         /* Its old value still has what has moved: it must not be replaced before that is written. */
         g->after = moved;
@@ -158,12 +158,13 @@
         enqueue_group(lead->recorder, moved, w->order, w->due_at);
         enqueue_group(lead->recorder, g, w->order, w->due_at);
     } else {
+        char *key = group_key(g);
         mark_written(g, lead->recorder->serial);
         ow_store_expect(txn, key, g->version);
         ow_store_write(txn, key, value, 0);
+        g_free(key);
         g_ptr_array_add(lead->recorder->sent, g_memdup2(w, sizeof *w));
     }
-    g_free(key);
 }
 
 static void put_finish(struct ow_lead *lead, struct ow_write *w, struct ow_store_request *txn)
--- a/src/core/spare.c
+++ b/src/core/spare.c
@@ -16,24 +16,17 @@
            ow_class_slack_s(lead->node, class_index) < 2 * type->boot_s + fetch + 20;
 }
 
-/* Whether the machine's GPUs would be wasted on the class. */
-static bool improper(const struct ow_lead *lead, const struct ow_machine_type *type, const struct ow_class *c,
-                     bool spot)
-{
-    return ow_rent_wasteful(lead, type, c, spot);
-}
-
 /* Slots of the class on a machine, full and free ones. */
 static uint32_t class_slots(const struct ow_lead *lead, const struct ow_class *c, const struct ow_machine *m,
                             bool proper)
 {
     const struct ow_machine_type *type = ow_machine_spec(lead, m);
-    if (type == NULL || (proper && improper(lead, type, c, m->spot)) || (m->spot && !c->spot) ||
+    if (type == NULL || (proper && ow_rent_wasteful(lead, type, c, m->spot)) || (m->spot && !c->spot) ||
         (c->types & (UINT64_C(1) << m->type)) == 0)
         return 0;
     /* What ordinary GPU machines have for it is what their GPUs leave over, as in placement. */
     struct ow_machine_type left = {.size = type->size};
-    if (improper(lead, type, c, m->spot) && !m->spot)
+    if (ow_rent_wasteful(lead, type, c, m->spot) && !m->spot)
         left.size.cpus = MAX(0, left.size.cpus - left.size.gpus * lead->gpu_cpus);
     return ow_place_whole(&left, &c->need);
 }
@@ -122,7 +115,7 @@
     for (guint i = 0; i < needs->len; i++) {
         const struct need *n = &g_array_index(needs, struct need, i);
         uint32_t slots = class_slots(lead, n->class, m, n->proper);
-        bool matters = slots > 0 && n->proper == !improper(lead, type, n->class, m->spot) &&
+        bool matters = slots > 0 && n->proper == !ow_rent_wasteful(lead, type, n->class, m->spot) &&
                        is_tight(lead, n->class_index, type);
         if (matters && n->there < n->wanted + slots)
             return false;
