--- a/tests/world.h
+++ b/tests/world.h
@@ -70,7 +70,10 @@
     GPtrArray *held;    /* transactions not yet carried out */
     GPtrArray *follows; /* open watches */
     unsigned txns;
+    unsigned state_requests, state_changes, cloud_calls, directs; /* counted work */
     GPtrArray *machines;
+    GHashTable *machines_by_name; /* and by address */
+    GHashTable *started_on;       /* "<job>/<task>" -> where it was started last */
     unsigned rented;
     unsigned capacity; /* machines that can still be rented */
     GArray *late;      /* direct orders that a cut holds back */
--- /dev/null
+++ b/tests/world_cloud.c
@@ -0,0 +1,102 @@
+/* The fake world's cloud. */
+#include "world_parts.h"
+
+#include <string.h>
+
+enum { PAGE_MACHINES = 500 };
+
+static void add_type(GArray *types, const char *name, double cpus, double gpus)
+{
+    struct ow_machine_type t = {.name = g_strdup(name),
+                                .size = {cpus, gpus, 64},
+                                .cache_gb = 100,
+                                .fetch_gb_per_s = 1,
+                                .price = 2,
+                                .spot_price = 1,
+                                .boot_s = 5};
+    g_array_append_val(types, t);
+}
+
+static GArray *machine_types(void)
+{
+    GArray *types = g_array_new(FALSE, TRUE, sizeof(struct ow_machine_type));
+    g_array_set_clear_func(types, ow_machine_type_clear);
+    add_type(types, "big", 16, 0);
+    add_type(types, "gpu", 8, 2);
+    return types;
+}
+
+/* A page of the list, in the order of creation. */
+static GArray *list_machines(struct world *w, const char *after, bool *more)
+{
+    GArray *list = g_array_new(FALSE, TRUE, sizeof(struct ow_listed_machine));
+    g_array_set_clear_func(list, ow_listed_machine_clear);
+    bool begun = after == NULL;
+    *more = false;
+    for (guint i = 0; i < w->machines->len && !*more; i++) {
+        const struct world_machine *m = g_ptr_array_index(w->machines, i);
+        if (!begun) {
+            begun = strcmp(m->name, after) == 0;
+            continue;
+        }
+        *more = list->len == PAGE_MACHINES;
+        struct ow_listed_machine l = {g_strdup(m->name),
+                                      g_strdup(m->addr),
+                                      g_strdup(m->type),
+                                      g_strdup(m->zone),
+                                      m->spot,
+                                      w->now < m->up_at ? OW_LISTED_BOOTING : OW_LISTED_RUNNING,
+                                      10};
+        if (m->gone || *more)
+            ow_listed_machine_clear(&l);
+        else
+            g_array_append_val(list, l);
+    }
+    return list;
+}
+
+static void rent(struct world *w, const struct ow_cloud_request *r, struct ow_cloud_reply *reply)
+{
+    GPtrArray *names = g_ptr_array_new();
+    for (unsigned i = 0; i < r->count && w->capacity > 0; i++, w->capacity--) {
+        char name[32];
+        g_snprintf(name, sizeof name, "r-%03u", ++w->rented);
+        struct world_machine *m = world_add_machine(w, name, r->type, r->zone, r->spot);
+        m->up_at = m->renewed_at = w->now + 5;
+        g_ptr_array_add(names, g_strdup(name));
+    }
+    reply->status = names->len > 0 ? 200 : 503;
+    g_ptr_array_add(names, NULL);
+    reply->rented = (char **)g_ptr_array_free(names, FALSE);
+}
+
+static void delete_machines(struct world *w, const GPtrArray *names)
+{
+    for (guint i = 0; i < names->len; i++) {
+        struct world_machine *m = world_machine(w, g_ptr_array_index(names, i));
+        if (m == NULL)
+            continue;
+        m->gone = true;
+        g_array_set_size(m->tasks, 0);
+    }
+}
+
+void world_cloud_take(struct world *w, int node, const struct ow_cloud_request *r)
+{
+    struct ow_command *c = world_command(OW_COMMAND_CLOUD, r->tag);
+    c->cloud.status = w->cloud_down ? 503 : 200;
+    w->cloud_calls++;
+    if (w->cloud_down) {
+        world_deliver(w, node, w->node_nonce[node], 0.1, c);
+        return;
+    }
+    if (r->op == OW_CLOUD_TYPES)
+        c->cloud.types = machine_types();
+    else if (r->op == OW_CLOUD_LIST)
+        c->cloud.listed = list_machines(w, r->after, &c->cloud.more);
+    else if (r->op == OW_CLOUD_RENT)
+        rent(w, r, &c->cloud);
+    else
+        delete_machines(w, r->machines);
+    world_deliver(w, node, w->node_nonce[node], 0.1, c);
+}
--- /dev/null
+++ b/tests/world_state.c
@@ -0,0 +1,407 @@
+/* The fake world's state service. */
+#include "world_parts.h"
+
+#include "core/records.h"
+#include "wire/json.h"
+
+#include <string.h>
+
+enum { PAGE_ITEMS = 1000, PAGE_BYTES = 500 * 1024 };
+
+struct world_value {
+    char *text;
+    uint64_t version, lease;
+};
+
+struct world_event {
+    char *key;
+    char *text; /* NULL: deleted */
+    uint64_t version;
+};
+
+struct held_txn {
+    int node;
+    uint64_t nonce;
+    struct ow_store_request *request;
+    double deadline;
+};
+
+struct follow {
+    int node;
+    uint64_t nonce, tag, since;
+    char *prefix;
+    double until;
+};
+
+static void value_free(void *item)
+{
+    struct world_value *v = item;
+    g_free(v->text);
+    g_free(v);
+}
+
+static void event_clear(void *item)
+{
+    struct world_event *e = item;
+    g_free(e->key);
+    g_free(e->text);
+}
+
+static void free_follow(struct follow *f)
+{
+    g_free(f->prefix);
+    g_free(f);
+}
+
+void world_state_init(struct world *w)
+{
+    w->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, value_free);
+    w->log = g_array_new(FALSE, FALSE, sizeof(struct world_event));
+    g_array_set_clear_func(w->log, event_clear);
+    w->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    w->revision = 1;
+    w->held = g_ptr_array_new();
+    w->follows = g_ptr_array_new();
+}
+
+void world_state_clear(struct world *w)
+{
+    for (guint i = 0; i < w->held->len; i++) {
+        struct held_txn *h = g_ptr_array_index(w->held, i);
+        ow_store_request_free(h->request);
+        g_free(h);
+    }
+    for (guint i = 0; i < w->follows->len; i++)
+        free_follow(g_ptr_array_index(w->follows, i));
+    g_ptr_array_free(w->held, TRUE);
+    g_ptr_array_free(w->follows, TRUE);
+    g_hash_table_destroy(w->keys);
+    g_hash_table_destroy(w->leases);
+    g_array_free(w->log, TRUE);
+}
+
+static void log_change(struct world *w, const char *key, const char *text)
+{
+    struct world_event e = {g_strdup(key), g_strdup(text), w->revision};
+    g_array_append_val(w->log, e);
+}
+
+static void item_clear(void *item)
+{
+    struct ow_store_item *i = item;
+    g_free(i->key);
+    json_decref(i->value);
+}
+
+static GArray *new_items(void)
+{
+    GArray *items = g_array_new(FALSE, FALSE, sizeof(struct ow_store_item));
+    g_array_set_clear_func(items, item_clear);
+    return items;
+}
+
+static void add_item(GArray *items, const char *key, const char *text, uint64_t version)
+{
+    struct ow_store_item item = {g_strdup(key), text != NULL ? json_loads(text, JSON_DECODE_ANY, NULL) : NULL,
+                                 version};
+    g_array_append_val(items, item);
+}
+
+static void answer_page(struct world *w, int node, uint64_t nonce, uint64_t tag, GArray *items, bool more)
+{
+    struct ow_command *c = world_command(OW_COMMAND_STORE, tag);
+    c->store = (struct ow_store_reply){tag, 200, w->revision, 0, more, items, NULL};
+    world_deliver(w, node, nonce, 0.01, c);
+}
+
+static void answer_store(struct world *w, int node, uint64_t nonce, uint64_t tag, int status, GArray *items,
+                         uint64_t lease, char **failed)
+{
+    struct ow_command *c = world_command(OW_COMMAND_STORE, tag);
+    c->store = (struct ow_store_reply){
+        tag, status, w->revision, lease, false, items != NULL ? items : new_items(), failed};
+    world_deliver(w, node, nonce, 0.01, c);
+}
+
+static uint64_t version_of(struct world *w, const char *key)
+{
+    const struct world_value *v = g_hash_table_lookup(w->keys, key);
+    return v != NULL ? v->version : 0;
+}
+
+static bool lease_alive(struct world *w, uint64_t lease)
+{
+    return lease == 0 || g_hash_table_contains(w->leases, &lease);
+}
+
+static void put(struct world *w, const struct ow_change *change)
+{
+    log_change(w, change->key, change->value);
+    if (change->value == NULL) {
+        g_hash_table_remove(w->keys, change->key);
+        return;
+    }
+    struct world_value *v = g_new0(struct world_value, 1);
+    *v = (struct world_value){g_strdup(change->value), w->revision, change->lease};
+    g_hash_table_replace(w->keys, g_strdup(change->key), v);
+}
+
+/* The status of the transaction, carried out if it is 200. */
+static int apply_txn(struct world *w, const struct ow_store_request *r, char ***failed)
+{
+    GPtrArray *bad = g_ptr_array_new();
+    if (r->changes->len > w->settings[0].txn_ops || r->conditions->len > 4 * w->settings[0].txn_ops)
+        g_string_append(w->broken, "a transaction is too large; ");
+    for (guint i = 0; i < r->conditions->len; i++) {
+        const struct ow_condition *c = &g_array_index(r->conditions, struct ow_condition, i);
+        if (version_of(w, c->key) != c->version)
+            g_ptr_array_add(bad, g_strdup(c->key));
+    }
+    for (guint i = 0; i < r->changes->len; i++) {
+        const struct ow_change *c = &g_array_index(r->changes, struct ow_change, i);
+        if (c->value != NULL && strlen(c->value) > 1024 * w->settings[0].value_kb)
+            g_string_append(w->broken, "a value is too large; ");
+    }
+    bool ok = bad->len == 0;
+    g_ptr_array_add(bad, NULL);
+    *failed = (char **)g_ptr_array_free(bad, FALSE);
+    for (guint i = 0; ok && i < r->changes->len; i++)
+        if (!lease_alive(w, g_array_index(r->changes, struct ow_change, i).lease))
+            return 400;
+    if (!ok)
+        return 409;
+    w->revision++;
+    for (guint i = 0; i < r->changes->len; i++)
+        put(w, &g_array_index(r->changes, struct ow_change, i));
+    return 200;
+}
+
+static void do_txn(struct world *w, int node, uint64_t nonce, const struct ow_store_request *r)
+{
+    char **failed = NULL;
+    int status = apply_txn(w, r, &failed);
+    w->txns++;
+    if (status != 409)
+        g_clear_pointer(&failed, g_strfreev);
+    if (w->lose_txn_answers) {
+        g_strfreev(failed);
+        answer_store(w, node, nonce, r->tag, 0, NULL, 0, NULL);
+    } else {
+        answer_store(w, node, nonce, r->tag, status, NULL, 0, failed);
+    }
+}
+
+static gint by_key(gconstpointer a, gconstpointer b)
+{
+    return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* A page of the list: so many items, and so many bytes. */
+static void do_list(struct world *w, int node, uint64_t nonce, const struct ow_store_request *r)
+{
+    GPtrArray *keys = g_ptr_array_new();
+    GArray *items = new_items();
+    GHashTableIter iter;
+    void *key;
+    size_t bytes = 0;
+    g_hash_table_iter_init(&iter, w->keys);
+    while (g_hash_table_iter_next(&iter, &key, NULL))
+        if (g_str_has_prefix(key, r->key) && (r->after == NULL || strcmp(key, r->after) > 0))
+            g_ptr_array_add(keys, key);
+    g_ptr_array_sort(keys, by_key);
+    while (items->len < keys->len && items->len < PAGE_ITEMS && bytes < PAGE_BYTES) {
+        const struct world_value *v = g_hash_table_lookup(w->keys, g_ptr_array_index(keys, items->len));
+        bytes += strlen(v->text);
+        add_item(items, g_ptr_array_index(keys, items->len), v->text, v->version);
+    }
+    answer_page(w, node, nonce, r->tag, items, items->len < keys->len);
+    g_ptr_array_free(keys, TRUE);
+}
+
+static GArray *changes_since(struct world *w, const char *prefix, uint64_t since)
+{
+    GArray *items = new_items();
+    guint first = w->log->len;
+    while (first > 0 && g_array_index(w->log, struct world_event, first - 1).version > since)
+        first--;
+    for (guint i = first; i < w->log->len; i++) {
+        const struct world_event *e = &g_array_index(w->log, struct world_event, i);
+        if (g_str_has_prefix(e->key, prefix))
+            add_item(items, e->key, e->text, e->version);
+    }
+    return items;
+}
+
+static void do_follow(struct world *w, int node, uint64_t nonce, const struct ow_store_request *r)
+{
+    GArray *items = changes_since(w, r->key, r->number);
+    if (items->len > 0 || r->seconds <= 0) {
+        answer_store(w, node, nonce, r->tag, 200, items, 0, NULL);
+        return;
+    }
+    g_array_free(items, TRUE);
+    struct follow *f = g_new0(struct follow, 1);
+    *f = (struct follow){node, nonce, r->tag, r->number, g_strdup(r->key), w->now + r->seconds};
+    g_ptr_array_add(w->follows, f);
+}
+
+static void do_lease(struct world *w, int node, uint64_t nonce, const struct ow_store_request *r)
+{
+    uint64_t *id = g_new(uint64_t, 1);
+    double *until = g_new(double, 1);
+    *id = ++w->last_lease;
+    *until = w->now + r->seconds;
+    g_hash_table_replace(w->leases, id, until);
+    answer_store(w, node, nonce, r->tag, 200, NULL, *id, NULL);
+}
+
+static void do_renew(struct world *w, int node, uint64_t nonce, const struct ow_store_request *r)
+{
+    double *until = g_hash_table_lookup(w->leases, &r->number);
+    if (until != NULL)
+        *until = w->now + w->rules.leader_lease_s;
+    answer_store(w, node, nonce, r->tag, until != NULL ? 200 : 404, NULL, 0, NULL);
+}
+
+static void do_get(struct world *w, int node, uint64_t nonce, const struct ow_store_request *r)
+{
+    const struct world_value *v = g_hash_table_lookup(w->keys, r->key);
+    GArray *items = new_items();
+    if (v != NULL)
+        add_item(items, r->key, v->text, v->version);
+    answer_store(w, node, nonce, r->tag, v != NULL ? 200 : 404, items, 0, NULL);
+}
+
+void world_state_take(struct world *w, int node, struct ow_effect *e)
+{
+    const struct ow_store_request *r = e->store;
+    uint64_t nonce = w->node_nonce[node];
+    w->state_requests++;
+    w->state_changes += r->changes != NULL ? r->changes->len : 0;
+    if (node == w->isolated_node) {
+        struct ow_command *c = world_command(OW_COMMAND_STORE, r->tag);
+        c->store = (struct ow_store_reply){.tag = r->tag, .items = new_items()};
+        world_deliver(w, node, nonce, 1.5, c);
+        return;
+    }
+    if (w->state_down || node == w->denied_node) {
+        answer_store(w, node, nonce, r->tag, 503, NULL, 0, NULL);
+        return;
+    }
+    switch (r->op) {
+    case OW_STORE_TXN:
+        bool next = w->hold_next > 0 && node == w->hold_node;
+        if (w->hold_txns || next) {
+            w->hold_next -= next ? 1 : 0;
+            struct held_txn *h = g_new0(struct held_txn, 1);
+            *h = (struct held_txn){node, nonce, g_steal_pointer(&e->store), w->now + 1.5};
+            g_ptr_array_add(w->held, h);
+            return;
+        }
+        do_txn(w, node, nonce, r);
+        return;
+    case OW_STORE_LIST:
+        do_list(w, node, nonce, r);
+        return;
+    case OW_STORE_FOLLOW:
+        do_follow(w, node, nonce, r);
+        return;
+    case OW_STORE_LEASE:
+        do_lease(w, node, nonce, r);
+        return;
+    case OW_STORE_RENEW:
+        do_renew(w, node, nonce, r);
+        return;
+    case OW_STORE_GET:
+        do_get(w, node, nonce, r);
+        return;
+    }
+}
+
+static void end_lease(struct world *w, uint64_t lease)
+{
+    GHashTableIter iter;
+    void *key, *value;
+    w->revision++;
+    g_hash_table_iter_init(&iter, w->keys);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        if (((struct world_value *)value)->lease != lease)
+            continue;
+        log_change(w, key, NULL);
+        g_hash_table_iter_remove(&iter);
+    }
+}
+
+void world_state_step(struct world *w)
+{
+    GHashTableIter iter;
+    void *id, *until;
+    g_hash_table_iter_init(&iter, w->leases);
+    while (!w->state_down && g_hash_table_iter_next(&iter, &id, &until)) {
+        if (*(double *)until >= w->now)
+            continue;
+        uint64_t lease = *(uint64_t *)id;
+        g_hash_table_iter_remove(&iter);
+        end_lease(w, lease);
+    }
+    /* After an outage every lease has its full time again. */
+    g_hash_table_iter_init(&iter, w->leases);
+    while (w->state_down && g_hash_table_iter_next(&iter, &id, &until))
+        *(double *)until = w->now + w->rules.leader_lease_s;
+    for (guint i = w->held->len; i > 0; i--) {
+        struct held_txn *h = g_ptr_array_index(w->held, i - 1);
+        /* The asker has given up; the transaction stays on its way. */
+        if (h->nonce != 0 && w->now > h->deadline) {
+            answer_store(w, h->node, h->nonce, h->request->tag, 0, NULL, 0, NULL);
+            h->nonce = 0;
+        }
+        if (w->hold_txns || w->keep_held)
+            continue;
+        if (h->nonce != 0) {
+            do_txn(w, h->node, h->nonce, h->request);
+        } else {
+            char **failed = NULL;
+            apply_txn(w, h->request, &failed);
+            g_strfreev(failed);
+        }
+        ow_store_request_free(h->request);
+        g_free(h);
+        g_ptr_array_remove_index(w->held, i - 1);
+    }
+    for (guint i = w->follows->len; i > 0 && !w->state_down; i--) {
+        struct follow *f = g_ptr_array_index(w->follows, i - 1);
+        if (f->node == w->isolated_node)
+            continue;
+        GArray *items = changes_since(w, f->prefix, f->since);
+        if ((items->len == 0 || w->deaf_watches) && w->now < f->until) {
+            g_array_free(items, TRUE);
+            continue;
+        }
+        answer_store(w, f->node, f->nonce, f->tag, 200, items, 0, NULL);
+        free_follow(f);
+        g_ptr_array_remove_index_fast(w->follows, i - 1);
+    }
+}
+
+const char *world_value_text(struct world *w, const char *key)
+{
+    const struct world_value *v = g_hash_table_lookup(w->keys, key);
+    return v != NULL ? v->text : NULL;
+}
+
+char *world_progress(struct world *w, const char *name)
+{
+    GHashTableIter iter;
+    void *key, *value;
+    char *found = NULL;
+    g_hash_table_iter_init(&iter, w->keys);
+    while (found == NULL && g_hash_table_iter_next(&iter, &key, &value)) {
+        if (!g_str_has_prefix(key, OW_KEY_PROGRESS))
+            continue;
+        json_t *group = json_loads(((struct world_value *)value)->text, 0, NULL);
+        json_t *record = json_object_get(group, name);
+        found = record != NULL ? wj_text(record) : NULL;
+        json_decref(group);
+    }
+    return found;
+}
--- /dev/null
+++ b/tests/world_workers.c
@@ -0,0 +1,295 @@
+/* The fake world's machines and their workers, who know every rule. */
+#include "world_parts.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static const double FETCH_S = 0.5;
+
+struct late_direct {
+    char machine[32];
+    uint64_t token, session;
+    GArray *orders;
+};
+
+void world_workers_init(struct world *w)
+{
+    w->machines = g_ptr_array_new();
+    w->machines_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+    w->started_on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    w->late = g_array_new(FALSE, FALSE, sizeof(struct late_direct));
+}
+
+void world_workers_clear(struct world *w)
+{
+    for (guint i = 0; i < w->machines->len; i++) {
+        struct world_machine *m = g_ptr_array_index(w->machines, i);
+        g_array_free(m->tasks, TRUE);
+        g_free(m);
+    }
+    for (guint i = 0; i < w->late->len; i++)
+        g_array_free(g_array_index(w->late, struct late_direct, i).orders, TRUE);
+    g_array_free(w->late, TRUE);
+    g_hash_table_destroy(w->machines_by_name);
+    g_hash_table_destroy(w->started_on);
+    g_ptr_array_free(w->machines, TRUE);
+}
+
+struct world_machine *world_machine(struct world *w, const char *name)
+{
+    return g_hash_table_lookup(w->machines_by_name, name);
+}
+
+struct world_machine *world_add_machine(struct world *w, const char *name, const char *type, const char *zone,
+                                        bool spot)
+{
+    struct world_machine *m = g_new0(struct world_machine, 1);
+    g_strlcpy(m->name, name, sizeof m->name);
+    g_snprintf(m->addr, sizeof m->addr, "%s:9000", name);
+    g_strlcpy(m->type, type, sizeof m->type);
+    g_strlcpy(m->zone, zone, sizeof m->zone);
+    m->spot = spot;
+    m->session = 1;
+    m->notice_s = -1;
+    m->up_at = m->renewed_at = m->report_at = w->now;
+    m->tasks = g_array_new(FALSE, TRUE, sizeof(struct world_task));
+    g_ptr_array_add(w->machines, m);
+    g_hash_table_insert(w->machines_by_name, m->name, m);
+    g_hash_table_insert(w->machines_by_name, m->addr, m);
+    return m;
+}
+
+struct ow_report *world_make_report(struct world_machine *m)
+{
+    struct ow_report *r = g_new0(struct ow_report, 1);
+    r->machine = g_strdup(m->name);
+    r->addr = g_strdup(m->addr);
+    r->type = g_strdup(m->type);
+    r->zone = g_strdup(m->zone);
+    r->spot = m->spot;
+    r->session = m->session;
+    r->seq = ++m->seq;
+    r->token = m->token;
+    r->notice_s = m->notice_s;
+    r->tasks = g_array_new(FALSE, TRUE, sizeof(struct ow_task_report));
+    for (guint i = 0; i < m->tasks->len; i++) {
+        const struct world_task *t = &g_array_index(m->tasks, struct world_task, i);
+        struct ow_task_report tr = {
+            .task = t->task, .attempt = t->attempt, .phase = t->phase, .cause = t->cause, .saved = t->saved};
+        g_strlcpy(tr.job, t->job, sizeof tr.job);
+        g_array_append_val(r->tasks, tr);
+    }
+    return r;
+}
+
+static struct world_task *find_task(struct world_machine *m, const struct ow_order *o)
+{
+    for (guint i = 0; i < m->tasks->len; i++) {
+        struct world_task *t = &g_array_index(m->tasks, struct world_task, i);
+        if (t->task == o->task && t->attempt == o->attempt && strcmp(t->job, o->job) == 0)
+            return t;
+    }
+    return NULL;
+}
+
+/* A task may only be on the machine where it was started last; elsewhere it would have been told before. */
+static void check_twice(struct world *w, struct world_machine *here, const struct ow_order *o)
+{
+    char *name = g_strdup_printf("%s/%u", o->job, o->task);
+    const struct world_machine *m = g_hash_table_lookup(w->started_on, name);
+    for (guint k = 0; m != NULL && m != here && !m->gone && k < m->tasks->len; k++) {
+        const struct world_task *t = &g_array_index(m->tasks, struct world_task, k);
+        if (t->phase != OW_EXITED && t->task == o->task && strcmp(t->job, o->job) == 0)
+            g_string_append_printf(w->broken, "%s runs twice, on %s and %s; ", name, m->name, here->name);
+    }
+    g_hash_table_replace(w->started_on, name, here);
+}
+
+static void check_over(struct world *w, const char *job)
+{
+    const struct world_told *told = g_hash_table_lookup(w->told, job);
+    if (told != NULL && told->stance == OW_DONE)
+        g_string_append_printf(w->broken, "%s was told done and is started again; ", job);
+}
+
+static void start_task(struct world *w, struct world_machine *m, const struct ow_order *o)
+{
+    if (find_task(m, o) != NULL)
+        return;
+    struct world_task t = {
+        .task = o->task, .attempt = o->attempt, .phase = OW_FETCHING, .phase_at = w->now + FETCH_S};
+    g_strlcpy(t.job, o->job, sizeof t.job);
+    for (guint i = 0; i < m->tasks->len; i++) {
+        const struct world_task *other = &g_array_index(m->tasks, struct world_task, i);
+        if (other->task == o->task && strcmp(other->job, o->job) == 0 && other->phase != OW_EXITED) {
+            t.phase = OW_EXITED;
+            t.cause = OW_CAUSE_BUSY;
+        }
+    }
+    if (t.phase != OW_EXITED) {
+        check_twice(w, m, o);
+        check_over(w, o->job);
+        m->starts++;
+    }
+    g_array_append_val(m->tasks, t);
+}
+
+static void obey(struct world *w, struct world_machine *m, const GArray *orders)
+{
+    for (guint i = 0; i < orders->len; i++) {
+        const struct ow_order *o = &g_array_index(orders, struct ow_order, i);
+        struct world_task *t = find_task(m, o);
+        if (o->op == OW_START) {
+            start_task(w, m, o);
+        } else if (o->op == OW_STOP && t != NULL && t->phase != OW_EXITED) {
+            t->phase = OW_EXITED;
+            t->cause = OW_CAUSE_STOPPED;
+        } else if (o->op == OW_FORGET && t != NULL && t->phase == OW_EXITED) {
+            m->forgets++;
+            g_array_remove_index(m->tasks, (guint)(t - (struct world_task *)m->tasks->data));
+        }
+    }
+}
+
+void world_workers_take_direct(struct world *w, int node, struct ow_effect *e)
+{
+    struct world_machine *m = world_machine(w, e->text);
+    struct ow_command *c = world_command(OW_COMMAND_DIRECT_REPLY, e->request);
+    w->directs++;
+    if (m == NULL || m->gone || m->cut || m->hangs || m->deaf || w->hold_directs || node == w->lonely_node) {
+        if (m != NULL && !m->gone && (m->cut || w->hold_directs)) {
+            /* The cut holds the packets; they get there once it ends. */
+            struct late_direct late = {
+                .token = e->token, .session = e->session, .orders = g_steal_pointer(&e->orders)};
+            g_strlcpy(late.machine, m->name, sizeof late.machine);
+            g_array_append_val(w->late, late);
+        }
+        world_deliver(w, node, w->node_nonce[node], 3, c);
+        return;
+    }
+    bool ok = e->token >= m->token && e->session == m->session;
+    if (e->token > m->token) {
+        m->token = e->token;
+        m->report_at = MIN(m->report_at, w->now + 0.5);
+    }
+    if (ok)
+        obey(w, m, e->orders);
+    c->status = ok ? 200 : 409;
+    c->report = world_make_report(m);
+    world_deliver(w, node, w->node_nonce[node], 0.01, c);
+}
+
+static void release_late(struct world *w)
+{
+    for (guint i = w->late->len; i > 0; i--) {
+        struct late_direct *late = &g_array_index(w->late, struct late_direct, i - 1);
+        struct world_machine *m = world_machine(w, late->machine);
+        if (!m->gone && (m->cut || w->hold_directs))
+            continue;
+        if (!m->gone && late->token >= m->token && late->session == m->session) {
+            m->token = late->token;
+            obey(w, m, late->orders);
+        }
+        g_array_free(late->orders, TRUE);
+        g_array_remove_index(w->late, i - 1);
+    }
+}
+
+/* The answer to a report: requests of workers carry their machine's index above 2^32. */
+void world_workers_take_answer(struct world *w, int node, const struct ow_effect *e)
+{
+    guint index = (guint)(e->request >> 32) - 1;
+    if (index >= w->machines->len)
+        return; /* nobody waits for it */
+    struct world_machine *m = g_ptr_array_index(w->machines, index);
+    if (!m->report_busy || (uint32_t)e->request != (uint32_t)m->seq || m->cut || m->hangs || m->deaf)
+        return;
+    m->report_busy = false;
+    m->report_at = w->now + w->settings[0].report_s;
+    if (e->kind == OW_EFFECT_MISDIRECT) {
+        int named = e->text != NULL ? atoi(e->text + strlen("node-")) : node;
+        m->node = named != node ? named : (node + 1) % WORLD_NODES;
+        m->report_at = w->now + (named != node ? 0.1 : 1);
+        return;
+    }
+    if (e->token < m->token)
+        return;
+    if (e->token > m->token)
+        m->report_at = w->now + 0.5;
+    m->token = e->token;
+    m->renewed_at = m->sent_at;
+    guint before = m->tasks->len;
+    obey(w, m, e->orders);
+    if (m->tasks->len != before)
+        m->report_at = w->now + 0.5;
+}
+
+static void step_task(struct world *w, struct world_machine *m, struct world_task *t)
+{
+    if (t->phase == OW_EXITED || w->now < t->phase_at)
+        return;
+    if (t->phase == OW_FETCHING) {
+        t->phase = OW_RUNNING;
+        t->phase_at = w->now + w->run_s;
+    } else {
+        t->phase = OW_EXITED;
+        t->cause = m->sick ? OW_CAUSE_ERROR : OW_CAUSE_DONE;
+    }
+    if (m->sick && t->phase == OW_RUNNING)
+        t->phase_at = w->now;
+    m->report_at = MIN(m->report_at, w->now + 0.5);
+}
+
+static void check_cancelled(struct world *w, const struct world_machine *m)
+{
+    for (guint i = 0; i < m->tasks->len; i++) {
+        const struct world_task *t = &g_array_index(m->tasks, struct world_task, i);
+        const struct world_told *told = g_hash_table_lookup(w->told, t->job);
+        if (t->phase != OW_EXITED && told != NULL && told->stance == OW_CANCELLED &&
+            w->now > told->at + w->settings[0].cancel_s)
+            g_string_append_printf(w->broken, "%s/%u is on %s long after it was cancelled; ", t->job, t->task,
+                                   m->name);
+    }
+}
+
+static void step_machine(struct world *w, struct world_machine *m, guint index)
+{
+    if (m->gone || w->now < m->up_at)
+        return;
+    if (w->now - m->renewed_at > w->settings[0].lease_s) {
+        m->session++;
+        m->renewed_at = w->now;
+        m->report_busy = false;
+        g_array_set_size(m->tasks, 0);
+    }
+    check_cancelled(w, m);
+    if (m->hangs)
+        return;
+    for (guint i = 0; i < m->tasks->len; i++)
+        step_task(w, m, &g_array_index(m->tasks, struct world_task, i));
+    if (m->report_busy && w->now - m->sent_at > 4) {
+        m->report_busy = false;
+        m->node = (m->node + 1) % WORLD_NODES;
+        m->report_at = w->now + 1;
+    }
+    if (m->report_busy || w->now < m->report_at || m->cut)
+        return;
+    m->sent_at = w->now;
+    if (w->cores[m->node] == NULL || m->node == w->lonely_node) {
+        m->node = (m->node + 1) % WORLD_NODES;
+        m->report_at = w->now + 1;
+        return;
+    }
+    struct ow_report *report = world_make_report(m);
+    m->report_busy = true;
+    struct ow_command *c = world_command(OW_COMMAND_REPORT, ((uint64_t)(index + 1) << 32) | (uint32_t)m->seq);
+    c->report = report;
+    world_deliver(w, m->node, w->node_nonce[m->node], 0.01, c);
+}
+
+void world_workers_step(struct world *w)
+{
+    release_late(w);
+    for (guint i = 0; i < w->machines->len; i++)
+        step_machine(w, g_ptr_array_index(w->machines, i), i);
+}
