--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -104,6 +104,9 @@
     OW_COMMAND_SUBMIT,
 };
 
+/* Of a direct order that was not sent at all. */
+enum { OW_STATUS_UNSENT = -1 };
+
 struct ow_command {
     enum ow_command_kind kind;
     uint64_t request; /* whom to answer, or the tag that is answered */
--- a/src/core/orders.c
+++ b/src/core/orders.c
@@ -3,7 +3,7 @@
 #include "core/lead_state.h"
 
 enum { ORDERS_MAX = 400 };
-static const double DIRECT_PAUSE_S = 3;
+static const double DIRECT_PAUSE_S = 3, UNSENT_PAUSE_S = 0.5;
 
 static void add_order(GArray *orders, enum ow_op op, const struct ow_attempt *at)
 {
@@ -77,6 +77,13 @@
         return; /* and with that the coordinator is gone */
     }
     m->direct_busy = false;
+    if (answer->status == OW_STATUS_UNSENT) {
+        /* Nothing left us, so nothing floats, and the machine's hearing was not tried. */
+        g_array_set_size(m->direct_starts, 0);
+        m->direct_wanted = true;
+        m->direct_at = lead->node->now + UNSENT_PAUSE_S;
+        return;
+    }
     if (answer->status == 200 || answer->status == 409) {
         take_direct_answer(lead, m, answer);
         return;
--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -28,8 +28,8 @@
     struct ow_loop *loop;
     ow_http_reply_fn reply;
     void *owner;
-    GPtrArray *calls;  /* connections, busy and idle */
-    unsigned max_kept; /* with more than these open, idle ones are closed */
+    GPtrArray *calls; /* connections, busy and idle */
+    unsigned most;    /* with more than these open, idle ones are closed */
 };
 
 static void free_call(struct call *call)
@@ -147,12 +147,12 @@
     return call;
 }
 
-struct ow_http_client *ow_http_client_new(struct ow_loop *loop, unsigned max_kept, ow_http_reply_fn reply,
+struct ow_http_client *ow_http_client_new(struct ow_loop *loop, unsigned most, ow_http_reply_fn reply,
                                           void *owner)
 {
     struct ow_http_client *client = g_new0(struct ow_http_client, 1);
     client->loop = loop;
-    client->max_kept = max_kept;
+    client->most = most;
     client->reply = reply;
     client->owner = owner;
     client->calls = g_ptr_array_new();
@@ -191,14 +191,38 @@
         call->deadline = 0; /* the sweep reports it */
 }
 
+void ow_http_client_bound(struct ow_http_client *client, unsigned most)
+{
+    client->most = most;
+}
+
+static struct call *longest_idle(const struct ow_http_client *client)
+{
+    struct call *longest = NULL;
+    for (guint i = 0; i < client->calls->len; i++) {
+        struct call *call = g_ptr_array_index(client->calls, i);
+        if (!call->busy && (longest == NULL || call->deadline < longest->deadline))
+            longest = call;
+    }
+    return longest;
+}
+
+bool ow_http_client_has_room(struct ow_http_client *client, const char *endpoint)
+{
+    if (client->calls->len < client->most || idle_call(client, endpoint) != NULL)
+        return true;
+    struct call *call = longest_idle(client);
+    if (call != NULL)
+        free_call(call);
+    return call != NULL && client->calls->len < client->most;
+}
+
 /* Connections to many machines must not use up the sockets that reports need. */
 static void close_surplus(struct ow_http_client *client)
 {
-    for (guint i = client->calls->len; i > 0 && client->calls->len > client->max_kept; i--) {
-        struct call *call = g_ptr_array_index(client->calls, i - 1);
-        if (!call->busy)
-            free_call(call);
-    }
+    struct call *call;
+    while (client->calls->len > client->most && (call = longest_idle(client)) != NULL)
+        free_call(call);
 }
 
 void ow_http_client_sweep(struct ow_http_client *client, double now)
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -4,6 +4,7 @@
 
 #include "io/loop.h"
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -12,12 +13,16 @@
 /* Status 0: no response; the request might have been carried out. */
 typedef void (*ow_http_reply_fn)(void *owner, uint64_t tag, int status, const char *body, size_t size);
 
-struct ow_http_client *ow_http_client_new(struct ow_loop *loop, unsigned max_kept, ow_http_reply_fn reply,
+struct ow_http_client *ow_http_client_new(struct ow_loop *loop, unsigned most, ow_http_reply_fn reply,
                                           void *owner);
 void ow_http_client_free(struct ow_http_client *client);
 /* `body` may be NULL. The reply never comes from inside this call. */
 void ow_http_client_send(struct ow_http_client *client, const char *endpoint, const char *method,
                          const char *path, const char *body, double timeout_s, uint64_t tag);
+/* From now on `most` connections are kept open at most. */
+void ow_http_client_bound(struct ow_http_client *client, unsigned most);
+/* Whether a request to the endpoint stays within the bound. The connection idle for longest makes room. */
+bool ow_http_client_has_room(struct ow_http_client *client, const char *endpoint);
 /* Ends requests that are out of time and closes connections long unused. */
 void ow_http_client_sweep(struct ow_http_client *client, double now);
 
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -289,6 +289,11 @@
     g_string_free(bytes, TRUE);
 }
 
+unsigned ow_http_server_count(const struct ow_http_server *server)
+{
+    return server->count;
+}
+
 void ow_http_server_sweep(struct ow_http_server *server, double now)
 {
     for (guint i = 0; i < server->slots->len; i++) {
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -36,6 +36,8 @@
 void ow_http_server_answer(struct ow_http_server *server, ow_request_id id, int status, const char *headers,
                            const char *body, size_t size);
 /* Closes idle connections; to be called now and then. */
+/* Connections that are open now. */
+unsigned ow_http_server_count(const struct ow_http_server *server);
 void ow_http_server_sweep(struct ow_http_server *server, double now);
 
 #endif
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -16,9 +16,9 @@
 static const double STATE_TIMEOUT_S = 1.5, CLOUD_TIMEOUT_S = 8, DIRECT_TIMEOUT_S = 3, SWEEP_S = 0.1,
                     IDLE_S = 60;
 enum { BODY_LIMIT = 64 * 1024, SPARE_SOCKETS = 60, SOCKETS_LEAST = 200 };
-/* The share of the sockets that connections of our own may keep: each machine reports on one of its, and may
-   have one of ours for orders. */
-static const double OWN_SOCKETS = 0.3;
+/* Each machine reports on a connection of its own, and those come first. Ours, for orders, get what is left,
+   and at least this share. */
+static const double OWN_LEAST = 0.05;
 
 /* What a request to the outside was, until its answer comes. */
 struct asked {
@@ -36,6 +36,8 @@
     struct ow_peer_links *peers;
     GHashTable *asked; /* our tag -> struct asked */
     uint64_t last_tag;
+    unsigned sockets; /* without those spared for the state service, the cloud and other controllers */
+    unsigned own_least;
     double sweep_at;
 };
 
@@ -240,8 +242,22 @@
     g_free(body);
 }
 
+/* Without a socket to spare the order goes with the answer to the machine's next report. */
+static void give_up_direct(struct ow_service *s, const struct ow_effect *e)
+{
+    struct ow_command *c = command_new(OW_COMMAND_DIRECT_REPLY, e->request);
+    c->status = OW_STATUS_UNSENT;
+    ow_core_push(s->core, c);
+}
+
 static void send_direct(struct ow_service *s, const struct ow_effect *e)
 {
+    unsigned taken = ow_http_server_count(s->server);
+    ow_http_client_bound(s->client, MAX(s->own_least, s->sockets - MIN(s->sockets, taken)));
+    if (!ow_http_client_has_room(s->client, e->text)) {
+        give_up_direct(s, e);
+        return;
+    }
     char *body = wire_direct_orders(e->token, e->session, e->orders);
     uint64_t tag = remember(s, ASKED_WORKER, 0, e->request);
     ow_http_client_send(s->client, e->text, "POST", W_PATH_COMMANDS, body, DIRECT_TIMEOUT_S, tag);
@@ -300,11 +316,12 @@
                                   const struct ow_rules *rules, char **fault)
 {
     struct ow_service *s = g_new0(struct ow_service, 1);
-    unsigned sockets = MAX(settings->sockets, SOCKETS_LEAST), own = (unsigned)(OWN_SOCKETS * sockets);
+    s->sockets = MAX(settings->sockets, SOCKETS_LEAST) - SPARE_SOCKETS;
+    s->own_least = (unsigned)(OWN_LEAST * s->sockets);
     struct ow_http_server_options options = {
         .endpoint = settings->front,
         .body_limit = BODY_LIMIT,
-        .max_connections = sockets - own - SPARE_SOCKETS,
+        .max_connections = s->sockets - s->own_least,
         .idle_s = IDLE_S,
     };
     s->loop = loop;
@@ -312,7 +329,7 @@
     s->asked = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     s->server = ow_http_server_new(loop, &options, handle, s);
     s->peers = ow_peer_links_new(loop, settings->peer_listen, take_peer, take_lost, s);
-    s->client = ow_http_client_new(loop, own, take_answer, s);
+    s->client = ow_http_client_new(loop, s->own_least, take_answer, s);
     s->core = ow_core_new(settings, rules, ow_rng_nonce());
     if (s->server == NULL || s->peers == NULL) {
         *fault = g_strdup_printf("cannot listen on %s",
--- a/tests/test_isolation.c
+++ b/tests/test_isolation.c
@@ -336,6 +336,22 @@
     world_finish(w);
 }
 
+/* Without a socket to spare, orders go with the answers to reports, and no machine is blamed for that. */
+static void test_without_sockets_work_goes_on(void **state)
+{
+    (void)state;
+    struct world *w = start_world(3);
+    w->no_sockets = true;
+    world_submit(w, 0, gang("run-1", 3, 16));
+    assert_true(world_until(w, 40, world_all_done, "run-1"));
+    world_run(w, 15);
+    for (guint i = 0; i < w->machines->len; i++)
+        assert_int_equal(((struct world_machine *)g_ptr_array_index(w->machines, i))->session, 1);
+    world_submit(w, 0, world_job("run-2", 4, 1));
+    assert_true(world_until(w, 40, world_all_done, "run-2"));
+    world_finish(w);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -353,6 +369,7 @@
         cmocka_unit_test(test_a_worker_whose_numbers_go_back),
         cmocka_unit_test(test_every_poll_is_answered),
         cmocka_unit_test(test_a_job_does_not_run_out_of_machines),
+        cmocka_unit_test(test_without_sockets_work_goes_on),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_sockets.c
+++ b/tests/test_sockets.c
@@ -193,6 +193,27 @@
     close_bench(&b);
 }
 
+/* Orders to many machines at once leave the sockets to reports: past the bound there is no room, and the
+   connection that has been idle for longest makes some. */
+static void test_own_connections_are_bounded(void **state)
+{
+    (void)state;
+    struct bench b;
+    open_bench(&b);
+    ow_http_client_bound(b.client, 1);
+    assert_true(ow_http_client_has_room(b.client, endpoint));
+    ow_http_client_send(b.client, endpoint, "POST", "/echo", "one", 3, 1);
+    assert_false(ow_http_client_has_room(b.client, endpoint));
+    run_until_reply(&b, 1);
+    assert_true(ow_http_client_has_room(b.client, endpoint));
+    assert_int_equal(ow_http_server_count(b.server), 1);
+    assert_true(ow_http_client_has_room(b.client, "127.0.0.1:1"));
+    for (int i = 0; i < 20; i++)
+        ow_loop_once(b.loop, round_, &b);
+    assert_int_equal(ow_http_server_count(b.server), 0);
+    close_bench(&b);
+}
+
 static int run_program(const char *arguments, char **out, char **err)
 {
     char *line = g_strdup_printf("%s %s", g_getenv("OSPREYWELL"), arguments);
@@ -235,6 +256,7 @@
         cmocka_unit_test(test_malformed_requests_are_told_and_closed),
         cmocka_unit_test(test_connections_are_bounded),
         cmocka_unit_test(test_quiet_connections_make_room),
+        cmocka_unit_test(test_own_connections_are_bounded),
         cmocka_unit_test(test_the_command_line),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world.h
+++ b/tests/world.h
@@ -78,6 +78,7 @@
     unsigned capacity; /* machines that can still be rented */
     GArray *late;      /* direct orders that a cut holds back */
     bool hold_directs;
+    bool no_sockets; /* controllers have none left for orders of their own */
     double run_s;
     GPtrArray *queue;    /* commands on their way to cores */
     GHashTable *answers; /* request -> struct world_answer */
--- a/tests/world_workers.c
+++ b/tests/world_workers.c
@@ -156,6 +156,11 @@
     struct world_machine *m = world_machine(w, e->text);
     struct ow_command *c = world_command(OW_COMMAND_DIRECT_REPLY, e->request);
     w->directs++;
+    if (w->no_sockets) {
+        c->status = OW_STATUS_UNSENT;
+        world_deliver(w, node, w->node_nonce[node], 0, c);
+        return;
+    }
     if (m == NULL || m->gone || m->cut || m->hangs || m->deaf || w->hold_directs || node == w->lonely_node) {
         if (m != NULL && !m->gone && (m->cut || w->hold_directs)) {
             /* The cut holds the packets; they get there once it ends. */
