A job keeps its age when every controller begins anew

Cause: age was counted from when a controller first saw a job, so after a restart of all controllers nobody had starved yet. The time of day of acceptance is recorded; nothing safe rests on it. The test fails without it.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -358,10 +358,11 @@
     ow_node_store(node, ow_store_request_new(OW_STORE_GET, OW_KEY_COORDINATOR), on_probe, core, NULL, NULL);
 }
 
-GPtrArray *ow_core_run(struct ow_core *core, double now)
+GPtrArray *ow_core_run(struct ow_core *core, double now, double time_of_day)
 {
     struct ow_node *node = &core->node;
     node->now = now;
+    node->time_of_day = time_of_day;
     for (int i = 0; i < QUEUES; i++) {
         struct ow_command *c;
         while ((c = g_queue_pop_head(&core->queues[i])) != NULL) {
--- a/src/core/door.c
+++ b/src/core/door.c
@@ -199,7 +199,7 @@
 static void create_job(struct ow_node *node, uint64_t request, struct ow_submission *s)
 {
     struct submit_call *call = g_new0(struct submit_call, 1);
-    struct ow_job_record record = {.stance = OW_QUEUED, .submission = s};
+    struct ow_job_record record = {.stance = OW_QUEUED, .accepted_at = node->time_of_day, .submission = s};
     struct ow_store_request *txn = ow_store_request_new(OW_STORE_TXN, NULL);
     char *key = job_key(s->id);
     ow_store_expect(txn, key, 0);
@@ -265,7 +265,9 @@
         answer_job(node, request, 200, job);
         return;
     }
-    struct ow_job_record record = {.stance = OW_CANCELLED, .submission = job->spec->submission};
+    struct ow_job_record record = {.stance = OW_CANCELLED,
+                                   .accepted_at = node->time_of_day - (node->now - job->came_at),
+                                   .submission = job->spec->submission};
     struct ow_store_request *txn = ow_store_request_new(OW_STORE_TXN, NULL);
     char *key = job_key(job->id);
     ow_store_expect(txn, key, job->version);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -18,6 +18,7 @@
     const struct ow_rules *rules;
     uint64_t nonce; /* tells this process from others of the same name */
     double now;
+    double time_of_day; /* roughly: nothing that must be safe rests on it */
     GPtrArray *effects;
     struct ow_calls *calls;
     struct ow_name_tables names;
--- a/src/core/records.h
+++ b/src/core/records.h
@@ -18,6 +18,7 @@
 
 struct ow_job_record {
     enum ow_stance stance;            /* queued stands for every job that is not over */
+    double accepted_at;               /* time of day; 0: not told */
     struct ow_submission *submission; /* NULL once over and no task of it may be left */
 };
 
--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -57,6 +57,13 @@
     return r->loaded;
 }
 
+/* A job keeps its age, and with it its place among those that have waited, when every controller begins anew.
+ */
+static double came_at(const struct ow_node *node, double accepted_at)
+{
+    return accepted_at > 0 ? node->now - MAX(0, node->time_of_day - accepted_at) : node->now;
+}
+
 static void apply_items(struct ow_replica *r, const GArray *items)
 {
     for (guint i = 0; i < items->len; i++) {
@@ -69,7 +76,7 @@
             continue;
         }
         ow_jobs_apply(r->node->jobs, item->key + strlen(OW_KEY_JOBS), item->version, record.stance,
-                      record.submission, r->node->now);
+                      record.submission, came_at(r->node, record.accepted_at));
     }
 }
 
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -103,7 +103,7 @@
         return job->run;
     struct ow_run *run = g_new0(struct ow_run, 1);
     run->job = job;
-    run->came_at = job->seen_at;
+    run->came_at = job->came_at;
     run->count = job->spec->submission->tasks;
     run->tasks = g_new0(struct ow_task, run->count);
     run->attempts = g_ptr_array_new();
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -361,7 +361,7 @@
         ow_http_server_sweep(s->server, now);
         ow_peer_links_sweep(s->peers, now);
     }
-    GPtrArray *effects = ow_core_run(s->core, now);
+    GPtrArray *effects = ow_core_run(s->core, now, (double)g_get_real_time() / G_USEC_PER_SEC);
     for (guint i = 0; i < effects->len; i++)
         carry_out(s, g_ptr_array_index(effects, i));
     g_ptr_array_free(effects, TRUE);
--- a/src/wire/records_json.c
+++ b/src/wire/records_json.c
@@ -11,6 +11,7 @@
 /* Field names of our own records are short: values have a size limit. */
 #define F_STANCE "e"
 #define F_SUBMISSION "s"
+#define F_ACCEPTED "t"
 #define F_LAST "a"
 #define F_DONE "d"
 #define F_LIVE "l"
@@ -31,6 +32,8 @@
         json_object_set_new(o, F_STANCE, json_integer(record->stance));
     if (record->submission != NULL)
         json_object_set_new(o, F_SUBMISSION, wire_submission_json(record->submission));
+    if (record->accepted_at > 0)
+        json_object_set_new(o, F_ACCEPTED, json_integer((json_int_t)record->accepted_at));
     return take_text(o);
 }
 
@@ -41,6 +44,7 @@
     memset(out, 0, sizeof *out);
     bool over = wj_count(value, F_STANCE, &stance);
     out->stance = (enum ow_stance)stance;
+    wj_number(value, F_ACCEPTED, &out->accepted_at);
     const json_t *submission = json_object_get(value, F_SUBMISSION);
     if (submission != NULL)
         out->submission = wire_submission_from(submission, &fault);
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -292,18 +292,24 @@
     world_finish(w);
 }
 
-/* Hands in a job every `gap` seconds, more than there is room for, until the first of `id` runs. */
-static bool begins_under_load(struct world *w, const char *id, double gap,
-                              struct ow_submission *(*next)(int n))
+/* Hands in a job every `gap` seconds, more than there is room for, until the first of `id` runs or the time
+   is over. Jobs are numbered from `n` on. */
+static bool begins_within(struct world *w, const char *id, double seconds, double gap,
+                          struct ow_submission *(*next)(int n), int n)
 {
-    int n = 100;
-    for (double end = w->now + 240; w->now < end && world_running(w, id) == 0; n++) {
+    for (double end = w->now + seconds; w->now < end && world_running(w, id) == 0; n++) {
         world_submit(w, 0, next(n));
         world_run(w, gap);
     }
     return world_running(w, id) > 0;
 }
 
+static bool begins_under_load(struct world *w, const char *id, double gap,
+                              struct ow_submission *(*next)(int n))
+{
+    return begins_within(w, id, 240, gap, next, 100);
+}
+
 static struct ow_submission *numbered(int n, uint32_t tasks, double cpus, bool is_gang, enum ow_rank rank)
 {
     char id[16];
@@ -437,6 +443,25 @@
     world_finish(w);
 }
 
+/* Whoever waits keeps his age when every controller begins anew, twice. */
+static void test_age_survives_restarts(void **state)
+{
+    (void)state;
+    struct world *w = full_world(2);
+    w->run_s = 5;
+    for (int n = 50; n < 60; n++)
+        world_submit(w, 0, urgent_array(n));
+    world_run(w, 1);
+    world_submit(w, 0, numbered(1, 4, 8, false, OW_RANK_LOW));
+    for (int i = 0; i < 2; i++) {
+        assert_false(begins_within(w, "run-1", 55, 1, urgent_array, 100 + 100 * i));
+        world_kill_node(w, 0); /* the only one in this world */
+        world_start_node(w, 0);
+    }
+    assert_true(begins_within(w, "run-1", 90, 1, urgent_array, 300));
+    world_finish(w);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -456,6 +481,7 @@
         cmocka_unit_test(test_the_largest_gang_begins_under_load),
         cmocka_unit_test(test_a_large_array_is_served_under_load),
         cmocka_unit_test(test_the_least_urgent_begins_under_load),
+        cmocka_unit_test(test_age_survives_restarts),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/world.c
+++ b/tests/world.c
@@ -8,7 +8,7 @@
 
 #include <string.h>
 
-static const double STEP_S = 0.05;
+static const double STEP_S = 0.05, TIME_OF_DAY = 1.7e9;
 
 /* A command to a node, and when it gets there. */
 struct delivery {
@@ -337,7 +337,7 @@
     for (int i = 0; i < WORLD_NODES; i++) {
         if (w->cores[i] == NULL)
             continue;
-        GPtrArray *effects = ow_core_run(w->cores[i], w->now);
+        GPtrArray *effects = ow_core_run(w->cores[i], w->now, w->now + TIME_OF_DAY);
         for (guint k = 0; k < effects->len; k++)
             carry_out(w, i, g_ptr_array_index(effects, k));
         g_ptr_array_free(effects, TRUE);
