--- a/src/core/reservation.c
+++ b/src/core/reservation.c
@@ -296,15 +296,16 @@
 
 /* A gang behind in line that can start at once may take room from one that is short: a held room is taken if
    there is no other, and a large gang would else idle a zone while it fills. Only what work is stopped for is
-   a gang's own; and in the line one that has waited long stands before those that might pass it. */
+   a gang's own, and what a starving one holds: others that starve, smaller, would pass it for ever. */
 void ow_reservation_book(const struct ow_run *run)
 {
     if (run->reservation == NULL)
         return;
     const struct ow_amounts *need = &run->job->spec->submission->need;
+    bool firm = run->reservation->stops || run->starves;
     for (guint i = 0; i < run->reservation->holds->len; i++) {
         const struct ow_hold *h = &g_array_index(run->reservation->holds, struct ow_hold, i);
         if (h->picked)
-            ow_amounts_add(run->reservation->stops ? &h->machine->held : &h->machine->held_softly, need, 1);
+            ow_amounts_add(firm ? &h->machine->held : &h->machine->held_softly, need, 1);
     }
 }
--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -185,7 +185,10 @@
 static unsigned missed_aims(struct ow_lead *lead, const struct ow_run *run)
 {
     double age = lead->node->now - run->came_at;
-    return run->starves ? 0 : ow_class_missed(lead->node, run->job->spec->class_index, age);
+    /* Of those that starve, who can still begin in time goes first: where all wait too long, nobody would. */
+    if (run->starves)
+        return age < BEGIN_S ? 0 : 1;
+    return ow_class_missed(lead->node, run->job->spec->class_index, age);
 }
 
 static GArray *line(struct ow_lead *lead)
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -411,6 +411,24 @@
     world_finish(w);
 }
 
+/* Under so much load that all of them starve: what one of those holds is not passed on to the next. */
+static void test_the_largest_gang_begins_among_starving_ones(void **state)
+{
+    (void)state;
+    struct world *w = full_world(4);
+    w->run_s = 10;
+    for (int n = 50; n < 56; n++) { /* staggered: one machine comes free at a time */
+        world_submit(w, 0, small_gang(n));
+        world_run(w, 2.4);
+    }
+    for (int n = 56; n < 90; n++)
+        world_submit(w, 0, small_gang(n));
+    world_run(w, 1);
+    world_submit(w, 0, numbered(1, 4, 16, true, OW_RANK_URGENT));
+    assert_true(begins_under_load(w, "run-1", 1, small_gang));
+    world_finish(w);
+}
+
 /* An array is put off by its size, but not for ever. */
 static void test_a_large_array_is_served_under_load(void **state)
 {
@@ -479,6 +497,7 @@
         cmocka_unit_test(test_a_large_array_runs_to_its_end),
         cmocka_unit_test(test_records_outgrow_their_value),
         cmocka_unit_test(test_the_largest_gang_begins_under_load),
+        cmocka_unit_test(test_the_largest_gang_begins_among_starving_ones),
         cmocka_unit_test(test_a_large_array_is_served_under_load),
         cmocka_unit_test(test_the_least_urgent_begins_under_load),
         cmocka_unit_test(test_age_survives_restarts),
