State and cloud always find a socket; the list counts as known after its last page

Read while looking for what a larger fleet outgrows: a burst of submissions opens a connection to the state service for each, beyond the bound on own connections, so an idle one to a machine gives way; and renting could begin when only the first 500 machines of a list were known.

--- a/src/core/classes.h
+++ b/src/core/classes.h
@@ -28,9 +28,9 @@
 double ow_class_run_s(struct ow_node *node, const struct ow_spec *spec);
 /* How long a task of the class may wait for its start without missing an aim of its class. */
 double ow_class_slack_s(struct ow_node *node, int class_index);
-/* Whether the settings state an aim for the class. */
 /* How many aims for starting a job of such an age can no longer be met. */
 unsigned ow_class_missed(struct ow_node *node, int class_index, double age_s);
+/* Whether the settings state an aim for the class. */
 bool ow_class_has_aim(struct ow_node *node, int class_index);
 
 #endif
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -86,7 +86,6 @@
         return;
     }
     const GArray *listed = answer->cloud.listed;
-    lead->listed_once = true;
     for (guint i = 0; i < listed->len; i++) {
         const struct ow_listed_machine *l = &g_array_index(listed, struct ow_listed_machine, i);
         if (g_hash_table_contains(lead->returned, l->name))
@@ -103,10 +102,13 @@
         m->rented_at = fresh ? lead->node->now - l->age_s : MIN(m->rented_at, lead->node->now - l->age_s);
     }
     g_clear_pointer(&lead->list_after, g_free);
-    if (answer->cloud.more && listed->len > 0)
+    if (answer->cloud.more && listed->len > 0) {
         lead->list_after = g_strdup(g_array_index(listed, struct ow_listed_machine, listed->len - 1).name);
-    else
+    } else {
+        /* Not before the last page: what is not known yet would be rented a second time. */
+        lead->listed_once = true;
         lead->list_at = lead->node->now + LIST_S;
+    }
 }
 
 void ow_fleet_list(struct ow_lead *lead)
--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -133,6 +133,28 @@
     return NULL;
 }
 
+static struct call *longest_idle(const struct ow_http_client *client)
+{
+    struct call *longest = NULL;
+    for (guint i = 0; i < client->calls->len; i++) {
+        struct call *call = g_ptr_array_index(client->calls, i);
+        if (!call->busy && (longest == NULL || call->deadline < longest->deadline))
+            longest = call;
+    }
+    return longest;
+}
+
+/* The connection idle for longest gives way to a new one; false where all are busy. */
+static bool make_room(struct ow_http_client *client)
+{
+    if (client->calls->len < client->most)
+        return true;
+    struct call *call = longest_idle(client);
+    if (call != NULL)
+        free_call(call);
+    return call != NULL && client->calls->len < client->most;
+}
+
 static struct call *open_call(struct ow_http_client *client, const char *endpoint)
 {
     struct call *call = g_new0(struct call, 1);
@@ -173,8 +195,10 @@
                          const char *path, const char *body, double timeout_s, uint64_t tag)
 {
     struct call *call = idle_call(client, endpoint);
-    if (call == NULL)
+    if (call == NULL) {
+        make_room(client); /* but who sends without having asked for room is in need of it */
         call = open_call(client, endpoint);
+    }
     call->busy = true;
     call->tag = tag;
     call->deadline = ow_loop_now(client->loop) + timeout_s;
@@ -196,25 +220,9 @@
     client->most = most;
 }
 
-static struct call *longest_idle(const struct ow_http_client *client)
-{
-    struct call *longest = NULL;
-    for (guint i = 0; i < client->calls->len; i++) {
-        struct call *call = g_ptr_array_index(client->calls, i);
-        if (!call->busy && (longest == NULL || call->deadline < longest->deadline))
-            longest = call;
-    }
-    return longest;
-}
-
 bool ow_http_client_has_room(struct ow_http_client *client, const char *endpoint)
 {
-    if (client->calls->len < client->most || idle_call(client, endpoint) != NULL)
-        return true;
-    struct call *call = longest_idle(client);
-    if (call != NULL)
-        free_call(call);
-    return call != NULL && client->calls->len < client->most;
+    return idle_call(client, endpoint) != NULL || make_room(client);
 }
 
 /* Connections to many machines must not use up the sockets that reports need. */
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -250,10 +250,15 @@
     ow_core_push(s->core, c);
 }
 
-static void send_direct(struct ow_service *s, const struct ow_effect *e)
+static void bound_own(struct ow_service *s)
 {
     unsigned taken = ow_http_server_count(s->server);
     ow_http_client_bound(s->client, MAX(s->own_least, s->sockets - MIN(s->sockets, taken)));
+}
+
+static void send_direct(struct ow_service *s, const struct ow_effect *e)
+{
+    bound_own(s);
     if (!ow_http_client_has_room(s->client, e->text)) {
         give_up_direct(s, e);
         return;
@@ -357,6 +362,7 @@
     struct ow_service *s = service;
     if (now >= s->sweep_at) {
         s->sweep_at = now + SWEEP_S;
+        bound_own(s);
         ow_http_client_sweep(s->client, now);
         ow_http_server_sweep(s->server, now);
         ow_peer_links_sweep(s->peers, now);
