--- a/src/core/door.c
+++ b/src/core/door.c
@@ -169,7 +169,7 @@
     char id[OW_ID_MAX + 1];
     g_strlcpy(id, s->id, sizeof id);
     g_info("job %s accepted: class %s, team %s, %u tasks", id, s->class_name, s->team, s->tasks);
-    ow_jobs_apply(node->jobs, id, revision, OW_QUEUED, s, node->now);
+    ow_jobs_apply(node->jobs, id, revision, OW_QUEUED, s, node->now, 0);
     answer_job(node, request, 201, ow_jobs_find(node->jobs, id));
     ow_node_nudge(node, revision);
 }
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -80,7 +80,7 @@
 }
 
 struct ow_job *ow_jobs_apply(struct ow_jobs *jobs, const char *id, uint64_t version, enum ow_stance stance,
-                             struct ow_submission *submission, double came_at)
+                             struct ow_submission *submission, double now, double age_s)
 {
     struct ow_job *job = ow_jobs_find(jobs, id);
     bool fresh = job == NULL;
@@ -91,7 +91,8 @@
     }
     if (fresh) {
         job = add_job(jobs, id, version);
-        job->came_at = came_at;
+        job->seen_at = now;
+        job->came_at = now - age_s;
     }
     job->version = version;
     job->stance = stance;
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -20,6 +20,7 @@
     uint64_t version;      /* of its record */
     uint64_t place;        /* its place in line: the revision that accepted it */
     double came_at;        /* when it was accepted, by our steady clock */
+    double seen_at;        /* when this controller first saw it */
     struct ow_spec *spec;  /* NULL once it is over and no task is left */
     struct ow_run *run;    /* the coordinator's */
     /* For users' eyes only. */
@@ -38,7 +39,7 @@
 struct ow_job *ow_jobs_find(const struct ow_jobs *jobs, const char *id);
 /* Takes over `submission`. An older version than the known one changes nothing and answers NULL. */
 struct ow_job *ow_jobs_apply(struct ow_jobs *jobs, const char *id, uint64_t version, enum ow_stance stance,
-                             struct ow_submission *submission, double came_at);
+                             struct ow_submission *submission, double now, double age_s);
 /* A cancellation that has just been committed here; its tasks may still have to be ended. */
 void ow_job_cancel(struct ow_job *job, uint64_t version);
 /* The jobs that are not over, or are cancelled and may still have tasks, in no order. */
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -118,8 +118,10 @@
 bool ow_place_cheaply(const struct ow_lead *lead, const struct ow_run *run)
 {
     const struct ow_spec *spec = run->job->spec;
-    return spec->submission->spot && !ow_class_has_aim(lead->node, spec->class_index) &&
-           lead->node->now - run->came_at < DEAR_WAIT_S;
+    /* Not by its age: when every controller has begun anew all that waits may be old, and would go on dear
+       machines at once. */
+    return spec->submission->spot && !ow_class_has_aim(lead->node, spec->class_index) && !run->starves &&
+           lead->node->now - run->job->seen_at < DEAR_WAIT_S;
 }
 
 /* Whether classes have aims, and none of them has proper use for such machines: they cost what work without
--- a/src/core/recorder.c
+++ b/src/core/recorder.c
@@ -263,7 +263,7 @@
         g_info("job %s done", job->id);
     ow_run_drop(lead, w->run);
     ow_jobs_apply(lead->node->jobs, job->id, revision, job->stance == OW_CANCELLED ? OW_CANCELLED : OW_DONE,
-                  NULL, lead->node->now);
+                  NULL, lead->node->now, 0);
 }
 
 static void committed(struct ow_lead *lead, uint64_t revision)
--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -59,9 +59,9 @@
 
 /* A job keeps its age, and with it its place among those that have waited, when every controller begins anew.
  */
-static double came_at(const struct ow_node *node, double accepted_at)
+static double age_s(const struct ow_node *node, double accepted_at)
 {
-    return accepted_at > 0 ? node->now - MAX(0, node->time_of_day - accepted_at) : node->now;
+    return accepted_at > 0 ? MAX(0, node->time_of_day - accepted_at) : 0;
 }
 
 static void apply_items(struct ow_replica *r, const GArray *items)
@@ -76,7 +76,7 @@
             continue;
         }
         ow_jobs_apply(r->node->jobs, item->key + strlen(OW_KEY_JOBS), item->version, record.stance,
-                      record.submission, came_at(r->node, record.accepted_at));
+                      record.submission, r->node->now, age_s(r->node, record.accepted_at));
     }
 }
 
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -86,11 +86,11 @@
     struct ow_name_tables names = {ow_names_new(), ow_names_new(), ow_names_new(), ow_names_new(),
                                    ow_names_new()};
     struct ow_jobs *jobs = ow_jobs_new(&names);
-    assert_non_null(ow_jobs_apply(jobs, "run-1", 5, OW_QUEUED, world_job("run-1", 1, 1), 0));
+    assert_non_null(ow_jobs_apply(jobs, "run-1", 5, OW_QUEUED, world_job("run-1", 1, 1), 0, 0));
     assert_int_equal(ow_jobs_open(jobs)->len, 1);
-    assert_non_null(ow_jobs_apply(jobs, "run-1", 9, OW_DONE, NULL, 0));
+    assert_non_null(ow_jobs_apply(jobs, "run-1", 9, OW_DONE, NULL, 0, 0));
     /* A list page read earlier arrives late: what is over must not come back to life. */
-    assert_null(ow_jobs_apply(jobs, "run-1", 5, OW_QUEUED, world_job("run-1", 1, 1), 0));
+    assert_null(ow_jobs_apply(jobs, "run-1", 5, OW_QUEUED, world_job("run-1", 1, 1), 0, 0));
     assert_int_equal(ow_jobs_find(jobs, "run-1")->stance, OW_DONE);
     assert_int_equal(ow_jobs_open(jobs)->len, 0);
     ow_jobs_free(jobs);
