--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -6,10 +6,11 @@
 /* Nobody starves: the size of an array puts it off no longer than this; a job of which nothing has started
    for so long, or that is not through after so long, goes to the front of the line. Nothing is stopped for
    that, nor what it then starts for others. */
-static const double PUT_OFF_MOST_S = 60, PROMOTION_S = 120, AGED_S = 220;
+static const double PUT_OFF_MOST_S = 60, PROMOTION_S = 150, AGED_S = 220;
 /* By then a job is to have begun, its image fetched: a large image brings its job forward, but not at once.
  */
 static const double BEGIN_S = 220, PROMOTION_LEAST_S = 40;
+
 static void settle(struct ow_lead *lead, struct ow_job *job)
 {
     struct ow_run *run = ow_run_get(lead, job);
