--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -118,9 +118,11 @@
 bool ow_place_cheaply(const struct ow_lead *lead, const struct ow_run *run)
 {
     const struct ow_spec *spec = run->job->spec;
-    /* Not by its age: when every controller has begun anew all that waits may be old, and would go on dear
-       machines at once. */
-    return spec->submission->spot && !ow_class_has_aim(lead->node, spec->class_index) && !run->starves &&
+    /* More urgent work waits for no rent, whether or not anybody has put an aim on it. The rest waits not by
+       its age: when every controller has begun anew all of it may be old, and would go on dear machines at
+       once; but what has waited too long goes there however often they begin anew. */
+    return spec->submission->spot && spec->submission->rank == OW_RANK_LOW &&
+           !ow_class_has_aim(lead->node, spec->class_index) && !run->starves && !run->aged &&
            lead->node->now - run->job->seen_at < DEAR_WAIT_S;
 }
 
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -461,6 +461,29 @@
     world_finish(w);
 }
 
+/* Low work without aims waits for cheap machines; nothing more urgent does. */
+static void test_only_low_work_waits_for_cheap_machines(void **state)
+{
+    (void)state;
+    struct world *w = full_world(2);
+    static char another[] = "another";
+    struct ow_objective aim = {.kind = OW_OBJECTIVE_WAIT, .class_name = another, .within_s = 30, .share = 1};
+    g_array_append_val(w->settings[0].objectives, aim);
+    w->run_s = 1000;
+    world_submit(w, 0, numbered(1, 1, 4, false, OW_RANK_LOW));
+    world_submit(w, 0, numbered(2, 2, 10, false, OW_RANK_STANDARD));
+    assert_true(world_until(w, 10, world_some_running, "run-2"));
+    assert_int_equal(world_running(w, "run-1"), 0);
+    /* Nor does anybody wait for ever, though the controller begins anew again and again. */
+    for (int i = 0; i < 4; i++) {
+        world_run(w, 60);
+        world_kill_node(w, 0);
+        world_start_node(w, 0);
+    }
+    assert_true(world_until(w, 20, world_some_running, "run-1"));
+    world_finish(w);
+}
+
 /* Whoever waits keeps his age when every controller begins anew, twice. */
 static void test_age_survives_restarts(void **state)
 {
@@ -500,6 +523,7 @@
         cmocka_unit_test(test_the_largest_gang_begins_among_starving_ones),
         cmocka_unit_test(test_a_large_array_is_served_under_load),
         cmocka_unit_test(test_the_least_urgent_begins_under_load),
+        cmocka_unit_test(test_only_low_work_waits_for_cheap_machines),
         cmocka_unit_test(test_age_survives_restarts),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
