--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -474,6 +474,9 @@
     world_submit(w, 0, numbered(2, 2, 10, false, OW_RANK_STANDARD));
     assert_true(world_until(w, 10, world_some_running, "run-2"));
     assert_int_equal(world_running(w, "run-1"), 0);
+    uint64_t request = world_poll(w, 0, "run-1");
+    world_run(w, 1);
+    assert_non_null(strstr(world_answer(w, request)->reason, "cheap"));
     /* Nor does anybody wait for ever, though the controller begins anew again and again. */
     for (int i = 0; i < 4; i++) {
         world_run(w, 60);
