--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -5,8 +5,9 @@
 static const double SIZE_WEIGHT = 5;
 /* Nobody starves: the size of an array puts it off no longer than this; a job of which nothing has started
    for so long, or that is not through after so long, goes to the front of the line. Nothing is stopped for
-   that, nor what it then starts for others. */
-static const double PUT_OFF_MOST_S = 60, PROMOTION_S = 150, AGED_S = 220;
+   that, nor what it then starts for others. Room held firmly for a gang idles until the gang has all of it,
+   so gangs have more patience. */
+static const double PUT_OFF_MOST_S = 60, PROMOTION_S = 120, PROMOTION_GANG_S = 150, AGED_S = 220;
 /* By then a job is to have begun, its image fetched: a large image brings its job forward, but not at once.
  */
 static const double BEGIN_S = 220, PROMOTION_LEAST_S = 40;
@@ -173,7 +174,8 @@
 static void judge_age(const struct ow_lead *lead, struct ow_run *run)
 {
     double age = lead->node->now - run->came_at;
-    double patience = CLAMP(BEGIN_S - fetch_s(lead, run->job->spec), PROMOTION_LEAST_S, PROMOTION_S);
+    double most = run->job->spec->submission->gang ? PROMOTION_GANG_S : PROMOTION_S;
+    double patience = CLAMP(BEGIN_S - fetch_s(lead, run->job->spec), PROMOTION_LEAST_S, most);
     run->starves = run->attempts->len == 0 && run->done == 0 && age > patience;
     run->aged = age > AGED_S;
 }
