core.c and rent.c split by owner: node.c, kinds.c

Code moved, and one condition out that another already held (a patience for wasteful machines equal to the one for all). Behaviour unchanged.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -9,8 +9,6 @@
 #include "core/replica.h"
 #include "wire/cloud_json.h"
 
-#include <string.h>
-
 static const double HELLO_S = 1, TYPES_RETRY_S = 1.5, STATE_BAD_S = 2, STATE_RECENT_S = 12, PEER_WORD_S = 4,
                     BUSY_PAUSE_S = 0.05, PROBE_S = 2, WORKER_RECENT_S = 6;
 enum { QUEUES = OW_COMMAND_SUBMIT + 1, SUBMITS_MOST = 400 };
@@ -23,103 +21,6 @@
     double probed_at;
 };
 
-/* ---- what the parts call (node.h) ---- */
-
-struct ow_effect *ow_effect_new(enum ow_effect_kind kind, uint64_t request)
-{
-    struct ow_effect *e = g_new0(struct ow_effect, 1);
-    e->kind = kind;
-    e->request = request;
-    e->done = e->running = OW_UNCOUNTED;
-    return e;
-}
-
-void ow_node_emit(struct ow_node *node, struct ow_effect *effect)
-{
-    g_ptr_array_add(node->effects, effect);
-}
-
-void ow_node_refuse(struct ow_node *node, uint64_t request, int status, const char *text, int retry_after_s)
-{
-    struct ow_effect *e = ow_effect_new(OW_EFFECT_REFUSE, request);
-    e->status = status;
-    e->text = g_strdup(text);
-    e->retry_after_s = retry_after_s;
-    ow_node_emit(node, e);
-}
-
-static void ignore_answer(void *owner, void *data, const struct ow_command *answer)
-{
-    (void)owner;
-    (void)data;
-    (void)answer;
-}
-
-void ow_node_store(struct ow_node *node, struct ow_store_request *request, ow_call_fn fn, void *owner,
-                   void *data, void (*free_data)(void *))
-{
-    request->tag = ow_calls_add(node->calls, fn != NULL ? fn : ignore_answer, owner, data, free_data);
-    struct ow_effect *e = ow_effect_new(OW_EFFECT_STORE, request->tag);
-    e->store = request;
-    ow_node_emit(node, e);
-}
-
-void ow_node_cloud(struct ow_node *node, struct ow_cloud_request *request, ow_call_fn fn, void *owner,
-                   void *data, void (*free_data)(void *))
-{
-    request->tag = ow_calls_add(node->calls, fn, owner, data, free_data);
-    struct ow_effect *e = ow_effect_new(OW_EFFECT_CLOUD, request->tag);
-    e->cloud = request;
-    ow_node_emit(node, e);
-}
-
-void ow_node_tell_peers(struct ow_node *node, struct ow_peer_message *message)
-{
-    struct ow_effect *e = ow_effect_new(OW_EFFECT_PEER, 0);
-    e->peer = message;
-    ow_node_emit(node, e);
-}
-
-void ow_node_nudge(struct ow_node *node, uint64_t revision)
-{
-    if (node->lead != NULL) {
-        ow_lead_wake(node->lead);
-        return;
-    }
-    struct ow_peer_message *message = ow_peer_message_new(OW_PEER_NUDGE);
-    message->number = revision;
-    ow_node_tell_peers(node, message);
-}
-
-static struct ow_machine_type *copy_type(const struct ow_machine_type *type)
-{
-    struct ow_machine_type *copy = g_new(struct ow_machine_type, 1);
-    *copy = *type;
-    copy->name = g_strdup(type->name);
-    copy->zones = g_strdupv(type->zones);
-    return copy;
-}
-
-static void free_type(struct ow_machine_type *type)
-{
-    if (type != NULL)
-        ow_machine_type_clear(type);
-    g_free(type);
-}
-
-void ow_node_set_types(struct ow_node *node, const GArray *types)
-{
-    for (guint i = 0; i < types->len; i++) {
-        const struct ow_machine_type *type = &g_array_index(types, struct ow_machine_type, i);
-        int index = ow_names_add(node->names.types, type->name);
-        if (index >= OW_MAX_TYPES)
-            continue;
-        free_type(node->types[index]);
-        node->types[index] = copy_type(type);
-        node->types_known = true;
-    }
-}
-
 /* ---- life ---- */
 
 struct ow_core *ow_core_new(const struct ow_settings *settings, const struct ow_rules *rules, uint64_t nonce)
@@ -155,8 +56,7 @@
     ow_replica_free(node->replica);
     ow_election_free(node->election);
     ow_jobs_free(node->jobs);
-    for (int i = 0; i < OW_MAX_TYPES; i++)
-        free_type(node->types[i]);
+    ow_node_free_types(node);
     ow_names_free(node->names.classes);
     ow_names_free(node->names.teams);
     ow_names_free(node->names.images);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -20,7 +20,7 @@
     if (status == 200) {
         g_info("machine %s is returned", m->name);
         g_hash_table_add(lead->returned, g_strdup(m->name));
-        ow_rent_forget_refusal(lead, m); /* its place is free again */
+        ow_kinds_forget_refusal(lead, m); /* its place is free again */
         ow_book_remove(lead, m, "its machine is deleted");
     } else {
         /* Refused, it was not carried out and the machine stays of use. Without an answer it may be carried
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -9,7 +9,6 @@
 #include "core/settings.h"
 
 struct ow_replica;
-struct ow_door;
 struct ow_election;
 struct ow_lead;
 
@@ -28,7 +27,6 @@
     double types_asked_at;
     GArray *classes; /* struct ow_class, by class index; owned by classes.c */
     struct ow_replica *replica;
-    struct ow_door *door;
     struct ow_election *election;
     struct ow_lead *lead;   /* NULL while another controller coordinates */
     double state_ok_at;     /* the last answer of the state service that was no failure */
@@ -53,5 +51,6 @@
 /* Tells the coordinator, here or elsewhere, that a job's record has changed. */
 void ow_node_nudge(struct ow_node *node, uint64_t revision);
 void ow_node_set_types(struct ow_node *node, const GArray *types);
+void ow_node_free_types(struct ow_node *node);
 
 #endif
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -3,62 +3,16 @@
 
 #include <math.h>
 
-static const double REFUSAL_S = 60;
 /* The share of a class's slack that may be spent on waiting for machines that are there. */
 static const double PATIENCE = 0.75;
-/* How many times the start of a machine a job must wait without it to be given one. */
-static const double HELP_PATIENCE = 1.5;
-/* The same for a machine with GPUs and work without need of them. */
-static const double WASTE_PATIENCE = 1.5;
-/* So much dearer for a task than the cheapest proper kind a machine with GPUs may be without being a waste.
- */
-static const double FAIR_PRICE = 2;
 enum { RENT_MOST = 50 };
 
-/* ---- refusals ---- */
-
-static bool is_kind(const struct ow_rental_refusal *r, int type, int zone, bool spot)
-{
-    return r->type == type && r->zone == zone && r->spot == spot;
-}
-
-static bool refused(const struct ow_lead *lead, int type, int zone, bool spot)
-{
-    for (guint i = 0; i < lead->refusals->len; i++)
-        if (is_kind(&g_array_index(lead->refusals, struct ow_rental_refusal, i), type, zone, spot))
-            return true;
-    return false;
-}
-
-void ow_rent_forget_refusal(struct ow_lead *lead, const struct ow_machine *m)
-{
-    for (guint i = lead->refusals->len; i > 0; i--)
-        if (is_kind(&g_array_index(lead->refusals, struct ow_rental_refusal, i - 1), m->type, m->zone,
-                    m->spot))
-            g_array_remove_index_fast(lead->refusals, i - 1);
-}
-
-static void forget_old_refusals(struct ow_lead *lead)
-{
-    for (guint i = lead->refusals->len; i > 0; i--)
-        if (g_array_index(lead->refusals, struct ow_rental_refusal, i - 1).until < lead->node->now)
-            g_array_remove_index_fast(lead->refusals, i - 1);
-}
-
-/* ---- renting ---- */
-
 struct rental_call {
     int type, zone;
     bool spot;
     unsigned count;
 };
 
-static void refuse_kind(struct ow_lead *lead, const struct rental_call *call)
-{
-    struct ow_rental_refusal refusal = {call->type, call->zone, call->spot, lead->node->now + REFUSAL_S};
-    g_array_append_val(lead->refusals, refusal);
-}
-
 static void on_rented(void *owner, void *data, const struct ow_command *answer)
 {
     struct ow_lead *lead = owner;
@@ -68,13 +22,13 @@
     lead->renting--;
     lead->rent_at = lead->node->now; /* plan again with what this one has shown */
     if (answer->cloud.status != 200 || answer->cloud.rented == NULL || answer->cloud.rented[0] == NULL) {
-        refuse_kind(lead, call);
+        ow_kinds_refuse(lead, call->type, call->zone, call->spot);
         g_info("no %s machine of type %s in %s: status %d", call->spot ? "spot" : "ordinary", type, zone,
                answer->cloud.status);
         return;
     }
     if (g_strv_length(answer->cloud.rented) < call->count)
-        refuse_kind(lead, call); /* these were the last */
+        ow_kinds_refuse(lead, call->type, call->zone, call->spot); /* these were the last */
     for (char **name = answer->cloud.rented; *name != NULL; name++) {
         struct ow_machine *m = ow_book_get(lead, *name);
         ow_book_describe(lead, m, NULL, type, zone, call->spot);
@@ -107,85 +61,6 @@
     return slots;
 }
 
-static bool offered_in(const struct ow_machine_type *type, const char *zone)
-{
-    return type->zones == NULL || g_strv_contains((const char *const *)type->zones, zone);
-}
-
-static bool improper(const struct ow_machine_type *type, const struct ow_amounts *need)
-{
-    return type->size.gpus > 0 && need->gpus <= 0;
-}
-
-/* Hourly rent for a task. */
-static double price_of(const struct ow_machine_type *type, const struct ow_amounts *need, bool spot)
-{
-    uint32_t slots = ow_place_whole(type, need);
-    return slots > 0 ? (spot ? type->spot_price : type->price) / slots : INFINITY;
-}
-
-/* The cheapest ordinary machine without GPUs, whether or not it is to be had. */
-static double proper_price(const struct ow_lead *lead, const struct ow_amounts *need, uint64_t types)
-{
-    double best = INFINITY;
-    for (int i = 0; i < OW_MAX_TYPES; i++) {
-        const struct ow_machine_type *t = lead->node->types[i];
-        if (t != NULL && !improper(t, need) && (types & (UINT64_C(1) << i)) != 0)
-            best = MIN(best, price_of(t, need, false));
-    }
-    return best;
-}
-
-bool ow_rent_wasteful(const struct ow_lead *lead, const struct ow_machine_type *type,
-                      const struct ow_class *c, bool spot)
-{
-    /* Less urgent work gets only what the GPUs leave over. */
-    return improper(type, &c->need) &&
-           ((int)c->rank >= lead->gpu_rank ||
-            price_of(type, &c->need, spot) > FAIR_PRICE * proper_price(lead, &c->need, c->types));
-}
-
-/* How long a new machine takes until it can run the job. */
-static double start_s(const struct ow_machine_type *type, const struct ow_spec *spec)
-{
-    return type->boot_s + (type->fetch_gb_per_s > 0 ? spec->submission->image_gb / type->fetch_gb_per_s : 0);
-}
-
-bool ow_rent_best_kind(const struct ow_lead *lead, const struct ow_spec *spec, double waits, bool proper,
-                       bool cheap, struct ow_coming *out)
-{
-    double best = INFINITY;
-    for (int type = 0; type < OW_MAX_TYPES; type++) {
-        const struct ow_machine_type *t = lead->node->types[type];
-        for (char **zone = lead->node->settings->zones; t != NULL && *zone != NULL; zone++) {
-            for (int spot = 0; spot < 2; spot++) {
-                int z = ow_names_add(lead->node->names.zones, *zone);
-                struct ow_coming c = {.machine = {.type = type, .zone = z, .spot = spot != 0},
-                                      .to_rent = true};
-                uint32_t slots = ow_place_slots(lead, spec, &c.machine);
-                bool wasteful =
-                    ow_rent_wasteful(lead, t, ow_class_of(lead->node, spec->class_index), spot != 0);
-                /* Work without need of GPUs gets a machine with them only if it would wait far longer. */
-                if (wasteful && (proper || waits < WASTE_PATIENCE * start_s(t, spec)))
-                    continue;
-                if (cheap && spot == 0)
-                    continue;
-                if (waits < HELP_PATIENCE * start_s(t, spec))
-                    continue; /* it would come too late to help */
-                if (!offered_in(t, *zone) || slots == 0 || !ow_place_allowed(lead, spec, &c.machine) ||
-                    refused(lead, type, z, spot != 0))
-                    continue;
-                double price = (spot ? t->spot_price : t->price) / MIN(slots, spec->submission->tasks);
-                if (price < best) {
-                    best = price;
-                    *out = c;
-                }
-            }
-        }
-    }
-    return best < INFINITY;
-}
-
 /* What the machines that are up have for jobs with such demands: reckoned once a round of planning. */
 struct supply {
     uint64_t types;
@@ -276,7 +151,7 @@
     for (guint i = 0; i < plan->len && wanted > 0; i++)
         wanted -= take_room(lead, spec, &g_array_index(plan, struct ow_coming, i), wanted);
     struct ow_coming c;
-    while (wanted > 0 && *most > 0 && ow_rent_best_kind(lead, spec, waits, false, cheap, &c)) {
+    while (wanted > 0 && *most > 0 && ow_kinds_best(lead, spec, waits, false, cheap, &c)) {
         uint32_t taken = take_room(lead, spec, &c, wanted);
         if (taken == 0)
             return;
@@ -344,7 +219,7 @@
        that are there had time to report. */
     if (lead->renting > 0 || lead->node->now - lead->ready_at < (all_heard(lead) ? 1 : 4))
         return;
-    forget_old_refusals(lead);
+    ow_kinds_forget_old(lead);
     GArray *plan = coming_up(lead);
     GPtrArray *runs = ow_schedule_line(lead);
     struct backlog ahead = {.supplies = g_array_new(FALSE, FALSE, sizeof(struct supply))};
--- a/src/core/rent_state.h
+++ b/src/core/rent_state.h
@@ -10,16 +10,18 @@
     bool to_rent;
 };
 
-/* rent.c */
+/* kinds.c */
 /* The cheapest kind of machine for the job that has not been refused lately. `waits`: how long the
    job would wait without it; `proper`: no machine whose GPUs would be wasted on it; `cheap`: spot alone. */
-bool ow_rent_best_kind(const struct ow_lead *lead, const struct ow_spec *spec, double waits, bool proper,
-                       bool cheap, struct ow_coming *out);
+bool ow_kinds_best(const struct ow_lead *lead, const struct ow_spec *spec, double waits, bool proper,
+                   bool cheap, struct ow_coming *out);
 /* Whether a machine with GPUs would be too dear for work without need of them. */
-bool ow_rent_wasteful(const struct ow_lead *lead, const struct ow_machine_type *type,
-                      const struct ow_class *c, bool spot);
+bool ow_kinds_wasteful(const struct ow_lead *lead, const struct ow_machine_type *type,
+                       const struct ow_class *c, bool spot);
 /* A machine of its kind has gone back: its place is free again. */
-void ow_rent_forget_refusal(struct ow_lead *lead, const struct ow_machine *m);
+void ow_kinds_forget_refusal(struct ow_lead *lead, const struct ow_machine *m);
+void ow_kinds_refuse(struct ow_lead *lead, int type, int zone, bool spot);
+void ow_kinds_forget_old(struct ow_lead *lead);
 
 /* spare.c: room kept ready for classes that can't wait for a machine to boot */
 void ow_spare_plan(struct ow_lead *lead, GArray *plan, unsigned *most);
--- a/src/core/spare.c
+++ b/src/core/spare.c
@@ -21,12 +21,12 @@
                             bool proper)
 {
     const struct ow_machine_type *type = ow_machine_spec(lead, m);
-    if (type == NULL || (proper && ow_rent_wasteful(lead, type, c, m->spot)) || (m->spot && !c->spot) ||
+    if (type == NULL || (proper && ow_kinds_wasteful(lead, type, c, m->spot)) || (m->spot && !c->spot) ||
         (c->types & (UINT64_C(1) << m->type)) == 0)
         return 0;
     /* What ordinary GPU machines have for it is what their GPUs leave over, as in placement. */
     struct ow_machine_type left = {.size = type->size};
-    if (ow_rent_wasteful(lead, type, c, m->spot) && !m->spot)
+    if (ow_kinds_wasteful(lead, type, c, m->spot) && !m->spot)
         left.size.cpus = MAX(0, left.size.cpus - left.size.gpus * lead->gpu_cpus);
     return ow_place_whole(&left, &c->need);
 }
@@ -68,7 +68,7 @@
         const struct ow_run *sample = NULL;
         double peak = ow_class_peak(lead->node, (int)i, class_tasks(lead, (int)i, &sample));
         struct ow_coming c;
-        if (sample == NULL || !ow_rent_best_kind(lead, sample->job->spec, INFINITY, true, false, &c))
+        if (sample == NULL || !ow_kinds_best(lead, sample->job->spec, INFINITY, true, false, &c))
             continue;
         const struct ow_machine_type *type = ow_machine_spec(lead, &c.machine);
         const struct ow_class *class = ow_class_of(lead->node, (int)i);
@@ -78,7 +78,7 @@
         double wanted = peak + MAX(class->largest, SPARE_SHARE * peak);
         uint32_t there = slots_there(lead, class, true, plan);
         while (*most > 0 && there < wanted &&
-               ow_rent_best_kind(lead, sample->job->spec, INFINITY, true, false, &c)) {
+               ow_kinds_best(lead, sample->job->spec, INFINITY, true, false, &c)) {
             there += class_slots(lead, class, &c.machine, true);
             g_array_append_val(plan, c);
             (*most)--;
@@ -117,7 +117,7 @@
     for (guint i = 0; i < needs->len; i++) {
         const struct need *n = &g_array_index(needs, struct need, i);
         uint32_t slots = class_slots(lead, n->class, m, n->proper);
-        bool matters = slots > 0 && n->proper == !ow_rent_wasteful(lead, type, n->class, m->spot) &&
+        bool matters = slots > 0 && n->proper == !ow_kinds_wasteful(lead, type, n->class, m->spot) &&
                        is_tight(lead, n->class_index, type);
         if (matters && n->there < n->wanted + slots)
             return false;
