--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -4,9 +4,9 @@
 /* How far the size of an array counts against its age. */
 static const double SIZE_WEIGHT = 5;
 /* Nobody starves: the size of an array puts it off no longer than this; a job of which nothing has started
-   for so long, or that is not through after so long, goes to the front of the line. Nothing is stopped for
-   that, nor what it then starts for others. Room held firmly for a gang idles until the gang has all of it,
-   so gangs have more patience. */
+   for so long, or that is not through after so long, is promoted to the front of the line. Nothing is stopped
+   for that, nor what it then starts for others. Room held firmly for a gang idles until the gang has all of
+   it, so gangs have more patience. */
 static const double PUT_OFF_MOST_S = 60, PROMOTION_S = 120, PROMOTION_GANG_S = 150, AGED_S = 220;
 /* By then a job is to have begun, its image fetched: a large image brings its job forward, but not at once.
  */
@@ -180,9 +180,14 @@
     run->aged = age > AGED_S;
 }
 
+static bool promoted(const struct ow_run *run)
+{
+    return run->starves || run->aged;
+}
+
 static int rank_in_line(const struct ow_run *run)
 {
-    return run->starves || run->aged ? OW_RANK_CRITICAL : (int)run->job->spec->submission->rank;
+    return promoted(run) ? OW_RANK_CRITICAL : (int)run->job->spec->submission->rank;
 }
 
 static unsigned missed_aims(struct ow_lead *lead, const struct ow_run *run)
@@ -212,6 +217,23 @@
     return entries;
 }
 
+/* The first place and every other one after it are for those that starve. With all of them before the rest
+   nobody would be in time under much load. */
+static GPtrArray *take_turns(const GArray *entries)
+{
+    GPtrArray *runs = g_ptr_array_new();
+    guint next[2] = {0, 0};
+    for (guint turn = 0; runs->len < entries->len; turn++) {
+        guint *at = &next[turn % 2];
+        while (*at < entries->len &&
+               promoted(g_array_index(entries, struct entry, *at).run) != (turn % 2 == 0))
+            ++*at;
+        if (*at < entries->len)
+            g_ptr_array_add(runs, g_array_index(entries, struct entry, (*at)++).run);
+    }
+    return runs;
+}
+
 /* Room on machines where lower work is stopped for an array that fits nowhere else. It is booked for the
    rest of the pass; in the next ones the array's rank keeps it. */
 static void array_makes_room(struct ow_lead *lead, struct ow_run *run)
@@ -237,9 +259,7 @@
 GPtrArray *ow_schedule_line(struct ow_lead *lead)
 {
     GArray *entries = line(lead);
-    GPtrArray *runs = g_ptr_array_new();
-    for (guint i = 0; i < entries->len; i++)
-        g_ptr_array_add(runs, g_array_index(entries, struct entry, i).run);
+    GPtrArray *runs = take_turns(entries);
     g_array_free(entries, TRUE);
     return runs;
 }
@@ -283,10 +303,14 @@
     ow_shortlists_begin(lead);
     g_array_set_size(lead->allowances, 0);
     GPtrArray *runs = ow_schedule_line(lead);
+    const struct ow_run *last = NULL;
     for (guint i = 0; i < runs->len; i++) {
         struct ow_run *run = g_ptr_array_index(runs, i);
-        if (i > 0 && rank_in_line(run) != rank_in_line(g_ptr_array_index(runs, i - 1)))
-            harden_held(lead);
+        if (!promoted(run)) {
+            if (last != NULL && rank_in_line(run) != rank_in_line(last))
+                harden_held(lead);
+            last = run;
+        }
         if (run->job->spec->submission->gang) {
             ow_reservation_try(lead, run);
             ow_reservation_book(run);
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -429,6 +429,20 @@
     world_finish(w);
 }
 
+/* However many starve, they take no more than every other place: who comes late need not come too late. */
+static void test_a_fresh_gang_begins_among_starving_ones(void **state)
+{
+    (void)state;
+    struct world *w = full_world(4);
+    w->run_s = 10;
+    for (int n = 100; n < 220; n++)
+        world_submit(w, 0, small_gang(n));
+    world_run(w, 165);
+    world_submit(w, 0, small_gang(1));
+    assert_true(world_until(w, 30, world_some_running, "run-1"));
+    world_finish(w);
+}
+
 /* An array is put off by its size, but not for ever. */
 static void test_a_large_array_is_served_under_load(void **state)
 {
@@ -524,6 +538,7 @@
         cmocka_unit_test(test_records_outgrow_their_value),
         cmocka_unit_test(test_the_largest_gang_begins_under_load),
         cmocka_unit_test(test_the_largest_gang_begins_among_starving_ones),
+        cmocka_unit_test(test_a_fresh_gang_begins_among_starving_ones),
         cmocka_unit_test(test_a_large_array_is_served_under_load),
         cmocka_unit_test(test_the_least_urgent_begins_under_load),
         cmocka_unit_test(test_only_low_work_waits_for_cheap_machines),
