--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -276,11 +276,7 @@
 {
     (void)state;
     struct world *w = start_world();
-    for (int i = 0; i < 4; i++) {
-        char name[16];
-        g_snprintf(name, sizeof name, "m-%d", i);
-        world_add_machine(w, name, "big", "east", false);
-    }
+    world_add_machines(w, 4);
     world_run(w, 6);
     w->run_s = 0.5;
     world_submit(w, 0, world_job("run-1", 700, 0.1));
@@ -340,11 +336,7 @@
 static struct world *full_world(int machines)
 {
     struct world *w = start_world();
-    for (int i = 0; i < machines; i++) {
-        char name[16];
-        g_snprintf(name, sizeof name, "m-%d", i);
-        world_add_machine(w, name, "big", "east", false);
-    }
+    world_add_machines(w, machines);
     world_run(w, 6);
     return w;
 }
--- a/tests/world.c
+++ b/tests/world.c
@@ -406,16 +406,21 @@
     return text != NULL && strcmp(text, "{\"e\":2}") == 0;
 }
 
-struct world *world_with_machines(int machines)
+void world_add_machines(struct world *w, int machines)
 {
-    struct world *w = world_new();
-    for (int i = 0; i < WORLD_NODES; i++)
-        world_start_node(w, i);
     for (int i = 0; i < machines; i++) {
         char name[16];
         g_snprintf(name, sizeof name, "m-%d", i);
         world_add_machine(w, name, "big", "east", false);
     }
+}
+
+struct world *world_with_machines(int machines)
+{
+    struct world *w = world_new();
+    for (int i = 0; i < WORLD_NODES; i++)
+        world_start_node(w, i);
+    world_add_machines(w, machines);
     world_run(w, 4);
     return w;
 }
--- a/tests/world.h
+++ b/tests/world.h
@@ -95,6 +95,8 @@
 void world_finish(struct world *w);
 struct world_machine *world_add_machine(struct world *w, const char *name, const char *type, const char *zone,
                                         bool spot);
+/* So many ordinary large ones in one zone, named m-0, m-1 and so on. */
+void world_add_machines(struct world *w, int machines);
 struct world_machine *world_machine(struct world *w, const char *name);
 void world_start_node(struct world *w, int node);
 void world_kill_node(struct world *w, int node);
