--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -11,14 +11,6 @@
     return w;
 }
 
-static struct ow_submission *gang(const char *id, uint32_t tasks, double cpus)
-{
-    struct ow_submission *s = world_job(id, tasks, cpus);
-    s->gang = true;
-    s->kind = OW_KIND_GANG;
-    return s;
-}
-
 static unsigned running_in(struct world *w, const char *job, const char *zone)
 {
     unsigned count = 0;
@@ -40,7 +32,7 @@
     world_add_machine(w, "m-1", "big", "east", false);
     world_run(w, 3);
     w->run_s = 50;
-    world_submit(w, 0, gang("run-1", 2, 10));
+    world_submit(w, 0, world_gang("run-1", 2, 10));
     assert_true(world_until(w, 10, world_some_running, "run-1"));
     world_run(w, 0.2);
     assert_int_equal(world_running(w, "run-1"), 2);
@@ -63,7 +55,7 @@
     w->run_s = 20;
     world_submit(w, 0, world_job("run-1", 1, 16)); /* fills one machine */
     assert_true(world_until(w, 10, world_some_running, "run-1"));
-    world_submit(w, 0, gang("run-2", 2, 16)); /* needs both */
+    world_submit(w, 0, world_gang("run-2", 2, 16)); /* needs both */
     world_run(w, 1);
     w->run_s = 200;
     world_submit(w, 0, world_job("run-3", 16, 1)); /* would fit the free one, but came later */
@@ -87,7 +79,7 @@
     w->run_s = 300;
     world_submit(w, 0, world_job("run-1", 1, 16));
     assert_true(world_until(w, 10, world_some_running, "run-1"));
-    world_submit(w, 0, gang("run-2", 2, 16));
+    world_submit(w, 0, world_gang("run-2", 2, 16));
     world_run(w, 1);
     world_submit(w, 0, world_job("run-3", 1, 4));
     world_run(w, 10);
@@ -106,7 +98,7 @@
     world_add_machine(w, "m-2", "big", "west", false);
     world_run(w, 6);
     w->run_s = 50;
-    struct ow_submission *s = gang("run-1", 2, 16);
+    struct ow_submission *s = world_gang("run-1", 2, 16);
     s->one_zone = true;
     world_submit(w, 0, s);
     assert_true(world_until(w, 10, world_some_running, "run-1"));
@@ -145,7 +137,7 @@
     }
     world_run(w, 6);
     w->run_s = 50;
-    struct ow_submission *s = gang("run-1", 3, 4), *array = world_job("run-2", 4, 1);
+    struct ow_submission *s = world_gang("run-1", 3, 4), *array = world_job("run-2", 4, 1);
     s->spread = true;
     array->spread = true;
     world_submit(w, 0, s);
@@ -186,8 +178,8 @@
     world_add_machine(w, "m-0", "big", "east", false);
     world_run(w, 6);
     w->run_s = 300;
-    struct ow_submission *low = world_job("run-1", 16, 1), *peer = gang("run-2", 1, 12),
-                         *urgent = gang("run-3", 1, 12);
+    struct ow_submission *low = world_job("run-1", 16, 1), *peer = world_gang("run-2", 1, 12),
+                         *urgent = world_gang("run-3", 1, 12);
     low->rank = OW_RANK_LOW;
     peer->rank = OW_RANK_LOW;
     urgent->rank = OW_RANK_URGENT;
@@ -239,7 +231,7 @@
     world_add_machine(w, "m-1", "big", "east", false);
     world_run(w, 6);
     w->run_s = 100;
-    world_submit(w, 0, gang("run-1", 2, 16));
+    world_submit(w, 0, world_gang("run-1", 2, 16));
     assert_true(world_until(w, 10, world_some_running, "run-1"));
     world_run(w, 2);
     struct world_machine *m = world_machine(w, "m-0");
--- a/tests/test_isolation.c
+++ b/tests/test_isolation.c
@@ -33,14 +33,6 @@
     return world_where(w, "run-1");
 }
 
-static struct ow_submission *gang(const char *id, uint32_t tasks, double cpus)
-{
-    struct ow_submission *s = world_job(id, tasks, cpus);
-    s->gang = true;
-    s->kind = OW_KIND_GANG;
-    return s;
-}
-
 /* ---- a machine whose reports arrive, but which hears nothing ---- */
 
 static void test_a_deaf_machine_is_given_nothing_and_returned(void **state)
@@ -51,7 +43,7 @@
     deaf->deaf = true;
     /* A gang that needs a machine whole may pick it before anything shows: it must not wait for it. */
     w->run_s = 2;
-    world_submit(w, 0, gang("run-2", 2, 16));
+    world_submit(w, 0, world_gang("run-2", 2, 16));
     assert_true(world_until(w, 40, is_gone, deaf));
     assert_true(world_until(w, 40, world_all_done, "run-2"));
     assert_true(world_until(w, 40, world_all_done, "run-1"));
@@ -342,7 +334,7 @@
     (void)state;
     struct world *w = start_world(3);
     w->no_sockets = true;
-    world_submit(w, 0, gang("run-1", 3, 16));
+    world_submit(w, 0, world_gang("run-1", 3, 16));
     assert_true(world_until(w, 40, world_all_done, "run-1"));
     world_run(w, 15);
     for (guint i = 0; i < w->machines->len; i++)
--- a/tests/world.c
+++ b/tests/world.c
@@ -246,6 +246,14 @@
     return s;
 }
 
+struct ow_submission *world_gang(const char *id, uint32_t tasks, double cpus)
+{
+    struct ow_submission *s = world_job(id, tasks, cpus);
+    s->gang = true;
+    s->kind = OW_KIND_GANG;
+    return s;
+}
+
 /* ---- nodes ---- */
 
 static void send_peers(struct world *w, int from, const struct ow_peer_message *message)
--- a/tests/world.h
+++ b/tests/world.h
@@ -125,6 +125,7 @@
 int world_stance(struct world *w, const char *id);
 
 struct ow_submission *world_job(const char *id, uint32_t tasks, double cpus);
+struct ow_submission *world_gang(const char *id, uint32_t tasks, double cpus);
 
 /* The machine that runs the job, or NULL. */
 struct world_machine *world_where(struct world *w, const char *job);
