--- a/src/core/book.c
+++ b/src/core/book.c
@@ -70,14 +70,22 @@
     return lead->node->now - m->seen_at < 2.5 * lead->node->settings->report_s;
 }
 
+bool ow_book_mute(const struct ow_lead *lead, const struct ow_machine *m)
+{
+    /* Answers to orders fence a machine at a take-over before its next report comes. */
+    double since = MAX(MAX(m->reported_at, m->met_at), lead->ready_at);
+    return lead->node->now - since > 2.5 * lead->node->settings->report_s;
+}
+
 bool ow_book_usable(const struct ow_lead *lead, const struct ow_machine *m)
 {
     double now = lead->node->now;
-    /* No launch before its report under our own token, nor on one that has fallen silent or does not hear us,
-       is about to be taken, or is being returned. */
+    /* No launch before its report under our own token, nor on one that has fallen silent, answers orders but
+       does not report (its lease runs out), or does not hear us, is about to be taken, or is being returned.
+     */
     return m->fenced && m->session > m->dead_session && ow_machine_spec(lead, m) != NULL && m->addr != NULL &&
-           ow_book_heard_lately(lead, m) && m->unheard_since == 0 && m->lost_at == 0 && !m->deleting &&
-           now >= MAX(m->quarantine_until, m->suspect_until);
+           ow_book_heard_lately(lead, m) && !ow_book_mute(lead, m) && m->unheard_since == 0 &&
+           m->lost_at == 0 && !m->deleting && now >= MAX(m->quarantine_until, m->suspect_until);
 }
 
 bool ow_book_is_floating(const struct ow_machine *m, const struct ow_job *job, uint32_t task, uint64_t number)
--- a/src/core/care.c
+++ b/src/core/care.c
@@ -47,7 +47,8 @@
         ow_fleet_delete(lead, m, "its tasks are recorded, but nothing is heard or known of it");
     else if (overdue(lead, m) && now - lead->ready_at > 30)
         ow_fleet_delete(lead, m, "it does not come up");
-    else if (m->seen_at != 0 && now - since > 3 * lead->node->settings->lease_s)
+    else if (m->seen_at != 0 &&
+             now - MAX(MAX(m->reported_at, m->met_at), lead->ready_at) > 3 * lead->node->settings->lease_s)
         ow_fleet_delete(lead, m, "it has been silent for too long");
 }
 
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -1,6 +1,7 @@
 #include "core/core.h"
 
 #include "core/classes.h"
+#include "core/confirm.h"
 #include "core/door.h"
 #include "core/election.h"
 #include "core/lead.h"
@@ -37,6 +38,7 @@
     node->jobs = ow_jobs_new(&node->names);
     node->replica = ow_replica_new(node);
     node->election = ow_election_new(node);
+    node->confirm = ow_confirm_new(node);
     node->peers_ok = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     node->machine_hints = ow_peer_machines_new();
     node->effects = g_ptr_array_new_with_free_func(ow_effect_free);
@@ -55,6 +57,7 @@
     ow_calls_free(node->calls);
     ow_replica_free(node->replica);
     ow_election_free(node->election);
+    ow_confirm_free(node->confirm);
     ow_jobs_free(node->jobs);
     ow_node_free_types(node);
     ow_names_free(node->names.classes);
@@ -94,6 +97,8 @@
 {
     int status = c->store.status;
     node->state_silent = status == 0;
+    if (status == 503)
+        node->state_refused_at = node->now;
     if (status == 0 || status == 503) {
         if (node->state_bad_since == 0)
             node->state_bad_since = node->now;
@@ -142,6 +147,12 @@
     case OW_PEER_NUDGE:
         ow_replica_hint(node->replica, message->number);
         break;
+    case OW_PEER_CANCELLATION:
+        ow_confirm_told(node->confirm, message);
+        break;
+    case OW_PEER_TAKEN:
+        ow_confirm_taken(node->confirm, message);
+        break;
     case OW_PEER_LOST:
         ow_election_lost(node->election, message->node);
         break;
@@ -274,6 +285,7 @@
     if (node->lead != NULL)
         ow_lead_tick(node->lead);
     ow_replica_tick(node->replica);
+    ow_confirm_tick(node->confirm);
     ask_types(core);
     probe_state(core);
     say_hello(node);
--- a/src/core/door.c
+++ b/src/core/door.c
@@ -1,5 +1,7 @@
 #include "core/door.h"
 
+#include "core/confirm.h"
+#include "core/election.h"
 #include "core/node.h"
 #include "core/records.h"
 #include "core/replica.h"
@@ -29,7 +31,7 @@
     ow_node_refuse(node, request, 503, text, RETRY_S);
 }
 
-static void answer_job(struct ow_node *node, uint64_t request, int status, const struct ow_job *job)
+void ow_door_answer_job(struct ow_node *node, uint64_t request, int status, const struct ow_job *job)
 {
     struct ow_effect *e = ow_effect_new(OW_EFFECT_JOB, request);
     e->status = status;
@@ -42,6 +44,16 @@
     ow_node_emit(node, e);
 }
 
+/* Every way a user can learn of a job leads through here: a cancellation is told by nobody before a
+   coordinator has taken it in. */
+static void answer_job(struct ow_node *node, uint64_t request, int status, const struct ow_job *job)
+{
+    if (job->stance == OW_CANCELLED && !job->confirmed)
+        ow_confirm_wait(node->confirm, request, status, job);
+    else
+        ow_door_answer_job(node, request, status, job);
+}
+
 static char *job_key(const char *id)
 {
     return g_strconcat(OW_KEY_JOBS, id, NULL);
@@ -241,16 +253,30 @@
         withdraw_known(node, v->request, job);
 }
 
+/* A withdrawal whose record is on its way. */
+struct withdraw_call {
+    struct visit visit;
+    uint64_t coordinator; /* as the record names it */
+};
+
+static bool failed_on(const struct ow_store_reply *reply, const char *key)
+{
+    return reply->failed != NULL && g_strv_contains((const char *const *)reply->failed, key);
+}
+
 static void on_withdrawn(void *owner, void *data, const struct ow_command *answer)
 {
     struct ow_node *node = owner;
-    const struct visit *v = data;
-    struct ow_job *job = ow_jobs_find(node->jobs, v->id);
+    const struct withdraw_call *call = data;
+    const struct visit *v = &call->visit;
     if (answer->store.status == 200) {
         g_info("job %s withdrawn by its user", v->id);
-        ow_job_cancel(job, answer->store.revision);
-        answer_job(node, v->request, 200, job);
-        ow_node_nudge(node, answer->store.revision);
+        answer_job(node, v->request, 200,
+                   ow_jobs_cancel(node->jobs, v->id, answer->store.revision, call->coordinator));
+    } else if (answer->store.status == 409 && failed_on(&answer->store, OW_KEY_COORDINATOR)) {
+        /* Another one may have read the records already, without this one. */
+        ow_election_stale(node->election);
+        refuse_busy(node, v->request, "the coordinator has just changed");
     } else if (answer->store.status == 409) {
         /* It was over before: the fresh record says how. */
         ow_replica_refresh(node->replica, withdraw_fresh, visit_new(v->request, v->id));
@@ -259,21 +285,34 @@
     }
 }
 
+/* The record expects the coordinator that it names: so it comes before any later take-over, whose reading
+   then includes it. */
 static void withdraw_known(struct ow_node *node, uint64_t request, const struct ow_job *job)
 {
+    uint64_t coordinator = ow_election_key(node->election);
     if (ow_job_over(job)) {
         answer_job(node, request, 200, job);
         return;
     }
+    if (coordinator == 0) {
+        refuse_busy(node, request, "nobody coordinates yet");
+        return;
+    }
     struct ow_job_record record = {.stance = OW_CANCELLED,
                                    .accepted_at = node->time_of_day - (node->now - job->came_at),
+                                   .coordinator = coordinator,
                                    .submission = job->spec->submission};
     struct ow_store_request *txn = ow_store_request_new(OW_STORE_TXN, NULL);
+    struct withdraw_call *call = g_new0(struct withdraw_call, 1);
     char *key = job_key(job->id);
+    call->visit.request = request;
+    g_strlcpy(call->visit.id, job->id, sizeof call->visit.id);
+    call->coordinator = coordinator;
+    ow_store_expect(txn, OW_KEY_COORDINATOR, coordinator);
     ow_store_expect(txn, key, job->version);
     ow_store_write(txn, key, wire_job_record(&record), 0);
     g_free(key);
-    ow_node_store(node, txn, on_withdrawn, node, visit_new(request, job->id), g_free);
+    ow_node_store(node, txn, on_withdrawn, node, call, g_free);
 }
 
 void ow_door_withdraw(struct ow_node *node, uint64_t request, const char *id)
--- a/src/core/effects.c
+++ b/src/core/effects.c
@@ -21,7 +21,7 @@
     return machines;
 }
 
-struct ow_peer_message *ow_peer_message_new(int kind)
+struct ow_peer_message *ow_peer_message_new(enum ow_peer_kind kind)
 {
     struct ow_peer_message *m = g_new0(struct ow_peer_message, 1);
     m->kind = kind;
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -35,11 +35,23 @@
     bool spot;
 };
 
-/* LOST is never sent: the link itself says that a controller seems to have ended. */
+enum ow_peer_kind {
+    OW_PEER_HELLO = 1,
+    OW_PEER_SUMMARY,
+    OW_PEER_NUDGE,
+    OW_PEER_MACHINES,
+    OW_PEER_CANCELLATION,
+    OW_PEER_TAKEN,
+    OW_PEER_LOST = 1000, /* never sent: the link itself says that a controller seems to have ended */
+};
+
 struct ow_peer_message {
-    enum { OW_PEER_HELLO = 1, OW_PEER_SUMMARY, OW_PEER_NUDGE, OW_PEER_MACHINES, OW_PEER_LOST } kind;
+    enum ow_peer_kind kind;
+    uint32_t version; /* of the sender's messages and records */
     char *node;
-    uint64_t number; /* token, or revision of a nudge */
+    uint64_t number;         /* token, or revision of a nudge */
+    char job[OW_ID_MAX + 1]; /* of a cancellation, committed or taken in */
+    uint64_t revision;       /* of its record */
     bool leads, state_ok, hears_workers;
     GArray *jobs;     /* struct ow_peer_job */
     GArray *machines; /* struct ow_peer_machine */
@@ -47,7 +59,7 @@
 
 /* An empty list of struct ow_peer_machine that owns its members. */
 GArray *ow_peer_machines_new(void);
-struct ow_peer_message *ow_peer_message_new(int kind);
+struct ow_peer_message *ow_peer_message_new(enum ow_peer_kind kind);
 void ow_peer_message_free(struct ow_peer_message *message);
 
 struct ow_team_view {
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -6,6 +6,8 @@
 #include "wire/records_json.h"
 
 static const double RETRY_S = 0.4, WATCH_S = 20, WATCH_GAP_S = 0.2;
+/* Slack for clocks that drift, for what was said before it was heard, and for a worker's last report. */
+static const double DRIFT = 0.002, MARGIN_S = 3;
 /* A leader so young is not taken over on a hint: two that can't reach each other would take turns. */
 static const double HINT_AGE_S = 8;
 /* How long one that has stepped down for the workers' sake leaves the key to others. */
@@ -31,6 +33,7 @@
     double watch_at;
     uint64_t revision; /* watched since */
     double led_since;  /* when we first heard of the key's present holder */
+    double began_at;   /* our own term */
 };
 
 struct ow_election *ow_election_new(struct ow_node *node)
@@ -51,6 +54,13 @@
     return e->stage == LEADING ? e->token : 0;
 }
 
+uint64_t ow_election_key(const struct ow_election *e)
+{
+    if (e->stage == LEADING)
+        return e->token;
+    return e->key_known ? e->key_version : 0;
+}
+
 const char *ow_election_leader(const struct ow_election *e)
 {
     return e->stage == LEADING ? e->node->settings->node : e->leader;
@@ -88,6 +98,7 @@
         g_info("no longer coordinator: %s", why);
         ow_lead_free(e->node->lead);
         e->node->lead = NULL;
+        e->node->lead_token = 0;
     }
     set_leader(e, NULL);
     look_again(e, 0);
@@ -110,6 +121,13 @@
         step_down(e, "the key has changed hands");
 }
 
+void ow_election_stale(struct ow_election *e)
+{
+    ow_election_deposed(e);
+    if (e->stage == LOOKING)
+        e->key_known = false;
+}
+
 void ow_election_yield(struct ow_election *e, const char *why)
 {
     if (e->stage != LEADING)
@@ -142,12 +160,14 @@
 {
     e->stage = LEADING;
     e->token = token;
+    e->began_at = e->node->now;
     e->seen_token = MAX(e->seen_token, token);
     e->renew_at = e->node->now + e->node->rules->leader_lease_s / 4;
     e->revision = token;
     set_leader(e, NULL);
     g_info("coordinator with token %" G_GUINT64_FORMAT, token);
     e->node->lead = ow_lead_new(e->node, token);
+    e->node->lead_token = token;
 }
 
 /* The key as the state service shows it now. */
@@ -160,8 +180,10 @@
         e->led_since = e->node->now;
     e->key_version = item->version;
     e->key_known = true;
-    if (is_us(e, leader) && g_strcmp0(nonce, ours) == 0 && e->lease != 0 && item->version > e->taken_from) {
-        /* The answer to our own write was lost, but it was carried out. */
+    if (is_us(e, leader) && g_strcmp0(nonce, ours) == 0 && e->lease != 0 && item->version > e->taken_from &&
+        item->version > e->token) {
+        /* The answer to our own write was lost, but it was carried out. A token that we have led with and
+           given up is not taken up again: launches sent under it may still be on their way. */
         begin_lead(e, item->version);
     } else if (is_us(e, leader)) {
         /* An earlier process of this name, which has ended: its key need not run out first. */
@@ -324,9 +346,24 @@
     ow_node_store(e->node, request, on_watch, e, NULL, NULL);
 }
 
+/* A coordinator that gets no answer at all from the state service, not even a refusal, may be cut off, alone
+   or together with workers and other controllers, and have a successor whose cancellations it does not hear
+   of: by answering reports it would keep their tasks alive. It stops so early that leases end within the time
+   that a cancelled task may last. In an ordinary outage the refusals themselves tell that it is not cut off.
+ */
+static bool forsaken(const struct ow_election *e)
+{
+    const struct ow_settings *s = e->node->settings;
+    double patience = s->cancel_s - s->lease_s * (1 + DRIFT) - MARGIN_S;
+    double heard_at = MAX(e->began_at, MAX(e->node->state_ok_at, e->node->state_refused_at));
+    return s->peers->len > 0 && e->node->now - heard_at > MAX(patience, 2 * e->node->rules->leader_lease_s);
+}
+
 void ow_election_tick(struct ow_election *e)
 {
     double now = e->node->now;
+    if (e->stage == LEADING && forsaken(e))
+        step_down(e, "the state service is out of its reach");
     if (e->stage == LEADING) {
         if (!e->renewing && now >= e->renew_at)
             renew(e);
--- a/src/core/election.h
+++ b/src/core/election.h
@@ -14,6 +14,11 @@
 void ow_election_tick(struct ow_election *election);
 /* Our token; 0 while we do not lead. */
 uint64_t ow_election_token(const struct ow_election *election);
+/* The revision of the coordinator's key as we know it, ours included; 0: nobody holds it, or we don't know.
+ */
+uint64_t ow_election_key(const struct ow_election *election);
+/* A write of ours showed that the key is not as we know it. */
+void ow_election_stale(struct ow_election *election);
 /* The name of the controller that leads as far as we know, or NULL. */
 const char *ow_election_leader(const struct ow_election *election);
 /* Somebody has seen this token; `leader` is its holder's name, or NULL if unknown. */
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -85,12 +85,17 @@
     struct ow_job *job = ow_jobs_find(jobs, id);
     bool fresh = job == NULL;
     /* Watches and lists may answer out of order: what is over must never come back to life. */
-    if (!fresh && version <= job->version) {
+    /* The record of a cancellation that was told ahead of it brings the rest of what is to be known. */
+    bool ahead = !fresh && job->ahead && version >= job->version;
+    if (!fresh && !ahead && version <= job->version) {
         ow_submission_free(submission);
         return NULL;
     }
-    if (fresh) {
+    if (fresh)
         job = add_job(jobs, id, version);
+    fresh = fresh || ahead;
+    job->ahead = false;
+    if (fresh) {
         job->seen_at = now;
         job->came_at = now - age_s;
     }
@@ -104,6 +109,9 @@
         ow_submission_free(submission);
     if (ow_job_over(job))
         ow_job_set_reason(job, NULL);
+    /* The last record of a cancelled job is written when no task is left. */
+    if (job->stance == OW_CANCELLED && settled)
+        job->confirmed = true;
     if (fresh && job->spec != NULL)
         g_ptr_array_add(jobs->open, job);
     else if (ow_job_over(job) && job->run == NULL && settled)
@@ -111,13 +119,21 @@
     return job;
 }
 
-void ow_job_cancel(struct ow_job *job, uint64_t version)
+struct ow_job *ow_jobs_cancel(struct ow_jobs *jobs, const char *id, uint64_t version, uint64_t token)
 {
+    struct ow_job *job = ow_jobs_find(jobs, id);
+    if (job == NULL) {
+        job = add_job(jobs, id, 0);
+        job->place = version;
+        job->ahead = true;
+    }
     if (version <= job->version)
-        return;
+        return job;
     job->version = version;
     job->stance = OW_CANCELLED;
+    job->cancel_token = token;
     ow_job_set_reason(job, NULL);
+    return job;
 }
 
 void ow_jobs_close(struct ow_jobs *jobs, struct ow_job *job)
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -23,6 +23,9 @@
     double seen_at;        /* when this controller first saw it */
     struct ow_spec *spec;  /* NULL once it is over and no task is left */
     struct ow_run *run;    /* the coordinator's */
+    uint64_t cancel_token; /* of a cancelled one: who coordinated when that was recorded */
+    bool confirmed;        /* its cancellation has been taken in: users may hear of it */
+    bool ahead;            /* cancelled before its record has been read: nothing else is known of it */
     /* For users' eyes only. */
     int done, running;
     char *reason;
@@ -40,8 +43,9 @@
 /* Takes over `submission`. An older version than the known one changes nothing and answers NULL. */
 struct ow_job *ow_jobs_apply(struct ow_jobs *jobs, const char *id, uint64_t version, enum ow_stance stance,
                              struct ow_submission *submission, double now, double age_s);
-/* A cancellation that has just been committed here; its tasks may still have to be ended. */
-void ow_job_cancel(struct ow_job *job, uint64_t version);
+/* A cancellation that is committed, here or elsewhere; its tasks may still have to be ended. A job that is
+   not known yet is noted down, so that no older record of it, read later, lets it start. */
+struct ow_job *ow_jobs_cancel(struct ow_jobs *jobs, const char *id, uint64_t version, uint64_t token);
 /* The jobs that are not over, or are cancelled and may still have tasks, in no order. */
 const GPtrArray *ow_jobs_open(const struct ow_jobs *jobs);
 /* To be called when a job is over and no task of it is left: it leaves the open ones. */
--- a/src/core/lead.c
+++ b/src/core/lead.c
@@ -61,11 +61,20 @@
     struct ow_effect *e = ow_effect_new(OW_EFFECT_ORDERS, request);
     GArray *clears = g_array_new(FALSE, FALSE, sizeof(struct ow_order));
     struct ow_machine *m = ow_reports_take(lead, report, clears);
-    e->token = lead->token;
+    if (m != NULL && report->session == m->session && report->seq == m->seq)
+        m->reported_at = lead->node->now;
+    /* Until the job table has been read, an answer could keep tasks alive whose cancellation a user has heard
+       of. One without our token renews nothing, and the worker stays. */
+    e->token = lead->phase == OW_LEAD_REFRESH ? 0 : lead->token;
     bool current = m != NULL && m->fenced && report->token == lead->token && report->session == m->session &&
                    report->seq == m->seq && lead->phase == OW_LEAD_READY;
     /* Orders go only to the session that they are meant for, and not in answer to a late copy. */
-    e->orders = current ? ow_orders_for(lead, m, NULL) : g_array_new(FALSE, FALSE, sizeof(struct ow_order));
+    if (current)
+        e->orders = ow_orders_for(lead, m, NULL);
+    else if (lead->phase != OW_LEAD_REFRESH)
+        e->orders = ow_reports_cancelled(lead, report);
+    else
+        e->orders = g_array_new(FALSE, FALSE, sizeof(struct ow_order));
     if (current)
         g_array_append_vals(e->orders, clears->data, clears->len);
     g_array_free(clears, TRUE);
@@ -158,6 +167,29 @@
            now - heard > LOST_REPORTS * lead->node->settings->report_s;
 }
 
+/* Whether an attempt of a cancelled job is where it can only end: running, on a machine that heeds us alone.
+   Whatever has yet to begin might do so after the user was told, for as long as its stop is on the way. */
+static bool only_ends(const struct ow_attempt *at)
+{
+    return at->stop && at->state == OW_AT_SEEN && at->machine->fenced &&
+           (at->phase == OW_RUNNING || at->phase == OW_SAVING);
+}
+
+bool ow_lead_cancel(struct ow_lead *lead, struct ow_job *job)
+{
+    /* Before it is ready a coordinator does not know what there is to end. */
+    if (lead->phase != OW_LEAD_READY)
+        return false;
+    ow_lead_wake(lead);
+    if (job->run == NULL)
+        return true;
+    ow_run_stop(lead, job->run, 0, "its job is cancelled");
+    for (guint i = 0; i < job->run->attempts->len; i++)
+        if (!only_ends(g_ptr_array_index(job->run->attempts, i)))
+            return false;
+    return true;
+}
+
 void ow_lead_wake(struct ow_lead *lead)
 {
     lead->dirty = true;
--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -106,6 +106,7 @@
     double rented_at;
     double met_at;        /* when this coordinator first heard of it */
     double seen_at;       /* the newest message from it came then; 0: none has */
+    double reported_at;   /* the same of its reports alone: what it answers to orders renews no lease */
     double unheard_since; /* our orders find no answer since then; 0: it hears us */
     uint64_t session, seq;
     uint64_t dead_session; /* every session up to it is proven over */
@@ -252,6 +253,8 @@
 void ow_book_remove(struct ow_lead *lead, struct ow_machine *m, const char *proof);
 /* Whether a message of it came within the time of a report or two. */
 bool ow_book_heard_lately(const struct ow_lead *lead, const struct ow_machine *m);
+/* Whether it has not reported for longer than a report or two may take, whatever it answers to orders. */
+bool ow_book_mute(const struct ow_lead *lead, const struct ow_machine *m);
 /* Whether new tasks may be put on it now. */
 bool ow_book_usable(const struct ow_lead *lead, const struct ow_machine *m);
 bool ow_book_is_floating(const struct ow_machine *m, const struct ow_job *job, uint32_t task,
@@ -273,6 +276,9 @@
 /* The machine that reports, or NULL if it is gone and this is a late copy. */
 struct ow_machine *ow_reports_take(struct ow_lead *lead, const struct ow_report *report, GArray *clears);
 
+/* Stops for whatever it lists of cancelled jobs, known to us as attempts or not. */
+GArray *ow_reports_cancelled(const struct ow_lead *lead, const struct ow_report *report);
+
 /* recorder.c */
 struct ow_recorder *ow_recorder_new(struct ow_lead *lead);
 void ow_recorder_free(struct ow_recorder *recorder);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -8,6 +8,7 @@
 #include "core/job.h"
 #include "core/settings.h"
 
+struct ow_confirm;
 struct ow_replica;
 struct ow_election;
 struct ow_lead;
@@ -28,15 +29,18 @@
     GArray *classes; /* struct ow_class, by class index; owned by classes.c */
     struct ow_replica *replica;
     struct ow_election *election;
-    struct ow_lead *lead;   /* NULL while another controller coordinates */
-    double state_ok_at;     /* the last answer of the state service that was no failure */
-    double state_bad_since; /* 0: the last answer was good */
-    bool state_silent;      /* the last failure was no answer, rather than a refusal */
-    GHashTable *peers_ok;   /* peer name -> double *: when it last said that its state service answers */
-    double worker_heard_at; /* the last report that came here; 0: none yet */
-    double peer_hears_at;   /* when a peer last said that workers come to it */
-    double peer_heard_at;   /* the last word of any peer; 0: none yet */
-    GArray *machine_hints;  /* struct ow_peer_machine, from the coordinator's last message */
+    struct ow_lead *lead; /* NULL while another controller coordinates */
+    uint64_t lead_token;  /* of `lead` */
+    struct ow_confirm *confirm;
+    double state_ok_at;      /* the last answer of the state service that was no failure */
+    double state_bad_since;  /* 0: the last answer was good */
+    double state_refused_at; /* its last refusal: it is in our reach, but may serve others */
+    bool state_silent;       /* the last failure was no answer, rather than a refusal */
+    GHashTable *peers_ok;    /* peer name -> double *: when it last said that its state service answers */
+    double worker_heard_at;  /* the last report that came here; 0: none yet */
+    double peer_hears_at;    /* when a peer last said that workers come to it */
+    double peer_heard_at;    /* the last word of any peer; 0: none yet */
+    GArray *machine_hints;   /* struct ow_peer_machine, from the coordinator's last message */
     double hello_at;
 };
 
--- a/src/core/records.h
+++ b/src/core/records.h
@@ -19,6 +19,7 @@
 struct ow_job_record {
     enum ow_stance stance;            /* queued stands for every job that is not over */
     double accepted_at;               /* time of day; 0: not told */
+    uint64_t coordinator;             /* of a cancelled one: who coordinated when that was recorded */
     struct ow_submission *submission; /* NULL once over and no task of it may be left */
 };
 
--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -75,8 +75,11 @@
             g_warning("job record %s cannot be read", item->key);
             continue;
         }
-        ow_jobs_apply(r->node->jobs, item->key + strlen(OW_KEY_JOBS), item->version, record.stance,
-                      record.submission, r->node->now, age_s(r->node, record.accepted_at));
+        struct ow_job *job =
+            ow_jobs_apply(r->node->jobs, item->key + strlen(OW_KEY_JOBS), item->version, record.stance,
+                          record.submission, r->node->now, age_s(r->node, record.accepted_at));
+        if (job != NULL)
+            job->cancel_token = record.coordinator;
     }
 }
 
--- a/src/core/reports.c
+++ b/src/core/reports.c
@@ -183,6 +183,18 @@
     g_info("machine %s reports, session %" G_GUINT64_FORMAT, m->name, m->session);
 }
 
+GArray *ow_reports_cancelled(const struct ow_lead *lead, const struct ow_report *report)
+{
+    GArray *orders = g_array_new(FALSE, FALSE, sizeof(struct ow_order));
+    for (guint i = 0; i < report->tasks->len; i++) {
+        const struct ow_task_report *t = &g_array_index(report->tasks, struct ow_task_report, i);
+        const struct ow_job *job = ow_jobs_find(lead->node->jobs, t->job);
+        if (job != NULL && job->stance == OW_CANCELLED && t->phase != OW_EXITED)
+            order(orders, OW_STOP, t);
+    }
+    return orders;
+}
+
 struct ow_machine *ow_reports_take(struct ow_lead *lead, const struct ow_report *report, GArray *orders)
 {
     /* A copy of an old report must not bring a deleted machine back. */
--- a/src/io/peer_link.c
+++ b/src/io/peer_link.c
@@ -123,10 +123,11 @@
             return false;
         if (l->in->len - at - 4 < size)
             break;
-        struct ow_peer_message *message = wire_peer_decode(l->in->str + at + 4, size);
-        if (message == NULL)
+        struct ow_peer_message *message = NULL;
+        if (!wire_peer_decode(l->in->str + at + 4, size, &message))
             return false;
-        l->links->take(l->links->owner, message);
+        if (message != NULL)
+            l->links->take(l->links->owner, message);
         at += 4 + size;
     }
     g_string_erase(l->in, 0, (gssize)at);
@@ -229,7 +230,7 @@
     open_out(l);
 }
 
-void ow_peer_links_tell(struct ow_peer_links *links, const struct ow_peer_message *message)
+void ow_peer_links_tell(struct ow_peer_links *links, struct ow_peer_message *message)
 {
     GString *frame = g_string_new(NULL);
     if (wire_peer_encode(message, frame)) {
--- a/src/wire/peer.x
+++ b/src/wire/peer.x
@@ -1,4 +1,8 @@
-/* What controllers tell each other. Nothing here is needed for safety: a lost message costs time only. */
+/* What controllers tell each other. A lost message costs time only, but one kind is needed for more: a user hears
+ * "cancelled" only after the coordinator has said that it has taken the cancellation in (core/confirm.c).
+ *
+ * Every message travels in an envelope. Kinds that are not known are skipped, and of a body whatever comes behind
+ * the known fields: so later versions add kinds, and fields at the end of a body. */
 
 const PEER_NAME_MAX = 64;
 const PEER_REASON_MAX = 160;
@@ -45,15 +49,33 @@
     peer_machine machines<PEER_MACHINES_MAX>;
 };
 
-enum peer_kind { PEER_HELLO = 1, PEER_SUMMARY = 2, PEER_NUDGE = 3, PEER_MACHINES = 4 };
+/* "This job's cancellation is committed": whoever coordinates takes it in, and need not read it anywhere. */
+struct peer_cancellation {
+    string job<PEER_NAME_MAX>;
+    unsigned hyper revision;  /* of the record that says so */
+    unsigned hyper token;     /* of the coordinator at the time of that record */
+};
+
+/* "The coordinator has taken the cancellation in": it has queued the stops, and nothing of the job can start. */
+struct peer_taken {
+    string job<PEER_NAME_MAX>;
+    unsigned hyper revision;
+    unsigned hyper token;     /* of the coordinator that says so */
+};
+
+const PEER_VERSION = 1;
+
+enum peer_kind {
+    PEER_HELLO = 1,
+    PEER_SUMMARY = 2,
+    PEER_NUDGE = 3,
+    PEER_MACHINES = 4,
+    PEER_CANCELLATION = 5,
+    PEER_TAKEN = 6
+};
 
-union peer_message switch (peer_kind kind) {
-case PEER_HELLO:
-    peer_hello hello;
-case PEER_SUMMARY:
-    peer_summary summary;
-case PEER_NUDGE:
-    peer_nudge nudge;
-case PEER_MACHINES:
-    peer_machines machines;
+struct peer_envelope {
+    unsigned int format;      /* of the sender's messages and records */
+    unsigned int kind;
+    opaque body<PEER_MESSAGE_MAX>;
 };
--- a/src/wire/peer_xdr.c
+++ b/src/wire/peer_xdr.c
@@ -5,19 +5,38 @@
 #include <arpa/inet.h>
 #include <string.h>
 
-static void fill_hello(const struct ow_peer_message *m, peer_message *x)
+/* The body of a message: one of these, by its kind. */
+union body {
+    peer_hello hello;
+    peer_summary summary;
+    peer_nudge nudge;
+    peer_machines machines;
+    peer_cancellation cancellation;
+    peer_taken taken;
+};
+
+static xdrproc_t body_coder(unsigned kind)
 {
-    peer_hello *h = &x->peer_message_u.hello;
-    h->node = m->node;
-    h->token = m->number;
-    h->leads = m->leads;
-    h->state_ok = m->state_ok;
-    h->hears_workers = m->hears_workers;
+    switch (kind) {
+    case PEER_HELLO:
+        return (xdrproc_t)xdr_peer_hello;
+    case PEER_SUMMARY:
+        return (xdrproc_t)xdr_peer_summary;
+    case PEER_NUDGE:
+        return (xdrproc_t)xdr_peer_nudge;
+    case PEER_MACHINES:
+        return (xdrproc_t)xdr_peer_machines;
+    case PEER_CANCELLATION:
+        return (xdrproc_t)xdr_peer_cancellation;
+    case PEER_TAKEN:
+        return (xdrproc_t)xdr_peer_taken;
+    default:
+        return NULL;
+    }
 }
 
-static void fill_summary(const struct ow_peer_message *m, peer_message *x)
+static void fill_summary(const struct ow_peer_message *m, peer_summary *s)
 {
-    peer_summary *s = &x->peer_message_u.summary;
     guint count = MIN(m->jobs->len, PEER_JOBS_MAX);
     s->token = m->number;
     s->jobs.jobs_len = count;
@@ -30,9 +49,8 @@
     }
 }
 
-static void fill_machines(const struct ow_peer_message *m, peer_message *x)
+static void fill_machines(const struct ow_peer_message *m, peer_machines *p)
 {
-    peer_machines *p = &x->peer_message_u.machines;
     guint count = MIN(m->machines->len, PEER_MACHINES_MAX);
     p->token = m->number;
     p->machines.machines_len = count;
@@ -43,33 +61,70 @@
     }
 }
 
-bool wire_peer_encode(const struct ow_peer_message *m, GString *out)
+/* Answers with a list that the caller frees, or NULL. */
+static void *fill_body(struct ow_peer_message *m, union body *b)
 {
-    peer_message x = {.kind = (peer_kind)m->kind};
-    void *list = NULL;
-    if (m->kind == OW_PEER_HELLO) {
-        fill_hello(m, &x);
-    } else if (m->kind == OW_PEER_SUMMARY) {
-        fill_summary(m, &x);
-        list = x.peer_message_u.summary.jobs.jobs_val;
-    } else if (m->kind == OW_PEER_NUDGE) {
-        x.peer_message_u.nudge.revision = m->number;
-    } else {
-        fill_machines(m, &x);
-        list = x.peer_message_u.machines.machines.machines_val;
+    switch (m->kind) {
+    case OW_PEER_HELLO:
+        b->hello = (peer_hello){m->node, m->number, m->leads, m->state_ok, m->hears_workers};
+        return NULL;
+    case OW_PEER_SUMMARY:
+        fill_summary(m, &b->summary);
+        return b->summary.jobs.jobs_val;
+    case OW_PEER_NUDGE:
+        b->nudge.revision = m->number;
+        return NULL;
+    case OW_PEER_MACHINES:
+        fill_machines(m, &b->machines);
+        return b->machines.machines.machines_val;
+    case OW_PEER_CANCELLATION:
+        b->cancellation = (peer_cancellation){m->job, m->revision, m->number};
+        return NULL;
+    case OW_PEER_TAKEN:
+        b->taken = (peer_taken){m->job, m->revision, m->number};
+        return NULL;
+    case OW_PEER_LOST:
+        return NULL;
     }
+    return NULL;
+}
+
+/* Encodes into a new buffer; NULL if it does not fit. */
+static char *encode(xdrproc_t coder, void *value, uint32_t *size)
+{
     char *buffer = g_malloc(WIRE_PEER_MAX);
     XDR xdr;
     xdrmem_create(&xdr, buffer, WIRE_PEER_MAX, XDR_ENCODE);
-    bool ok = xdr_peer_message(&xdr, &x);
-    uint32_t size = ok ? xdr_getpos(&xdr) : 0;
+    bool ok = coder(&xdr, value, 0);
+    *size = ok ? xdr_getpos(&xdr) : 0;
     xdr_destroy(&xdr);
-    if (ok) {
+    if (!ok)
+        g_clear_pointer(&buffer, g_free);
+    return buffer;
+}
+
+bool wire_peer_encode(struct ow_peer_message *m, GString *out)
+{
+    union body b;
+    uint32_t size = 0;
+    memset(&b, 0, sizeof b);
+    xdrproc_t coder = body_coder(m->kind);
+    if (coder == NULL)
+        return false;
+    void *list = fill_body(m, &b);
+    char *body = encode(coder, &b, &size), *whole = NULL;
+    if (body != NULL) {
+        peer_envelope envelope = {PEER_VERSION, (u_int)m->kind, {size, body}};
+        whole = encode((xdrproc_t)xdr_peer_envelope, &envelope, &size);
+    }
+    if (whole != NULL) {
         uint32_t frame = htonl(size);
         g_string_append_len(out, (const char *)&frame, sizeof frame);
-        g_string_append_len(out, buffer, size);
+        g_string_append_len(out, whole, size);
     }
-    g_free(buffer);
+    bool ok = whole != NULL;
+    g_free(whole);
+    g_free(body);
     g_free(list);
     return ok;
 }
@@ -96,33 +151,69 @@
     }
 }
 
-static struct ow_peer_message *read_message(const peer_message *x)
+static struct ow_peer_message *read_body(unsigned kind, const union body *b)
 {
-    struct ow_peer_message *m = ow_peer_message_new((int)x->kind);
-    if (x->kind == PEER_HELLO) {
-        m->node = g_strdup(x->peer_message_u.hello.node);
-        m->number = x->peer_message_u.hello.token;
-        m->leads = x->peer_message_u.hello.leads;
-        m->state_ok = x->peer_message_u.hello.state_ok;
-        m->hears_workers = x->peer_message_u.hello.hears_workers;
-    } else if (x->kind == PEER_SUMMARY) {
-        read_summary(&x->peer_message_u.summary, m);
-    } else if (x->kind == PEER_NUDGE) {
-        m->number = x->peer_message_u.nudge.revision;
-    } else {
-        read_machines(&x->peer_message_u.machines, m);
+    struct ow_peer_message *m = ow_peer_message_new((enum ow_peer_kind)kind);
+    switch (m->kind) {
+    case OW_PEER_HELLO:
+        m->node = g_strdup(b->hello.node);
+        m->number = b->hello.token;
+        m->leads = b->hello.leads;
+        m->state_ok = b->hello.state_ok;
+        m->hears_workers = b->hello.hears_workers;
+        break;
+    case OW_PEER_SUMMARY:
+        read_summary(&b->summary, m);
+        break;
+    case OW_PEER_NUDGE:
+        m->number = b->nudge.revision;
+        break;
+    case OW_PEER_MACHINES:
+        read_machines(&b->machines, m);
+        break;
+    case OW_PEER_CANCELLATION:
+        g_strlcpy(m->job, b->cancellation.job, sizeof m->job);
+        m->revision = b->cancellation.revision;
+        m->number = b->cancellation.token;
+        break;
+    case OW_PEER_TAKEN:
+        g_strlcpy(m->job, b->taken.job, sizeof m->job);
+        m->revision = b->taken.revision;
+        m->number = b->taken.token;
+        break;
+    case OW_PEER_LOST:
+        break;
     }
     return m;
 }
 
-struct ow_peer_message *wire_peer_decode(const char *data, size_t size)
+/* What comes behind the fields that we know is a later version's and is left alone. */
+static bool decode(xdrproc_t coder, const char *data, size_t size, void *value)
 {
-    peer_message x;
     XDR xdr;
-    memset(&x, 0, sizeof x);
     xdrmem_create(&xdr, (char *)data, (u_int)size, XDR_DECODE);
-    struct ow_peer_message *m = xdr_peer_message(&xdr, &x) ? read_message(&x) : NULL;
+    bool ok = coder(&xdr, value, 0);
     xdr_destroy(&xdr);
-    xdr_free((xdrproc_t)xdr_peer_message, (char *)&x);
-    return m;
+    return ok;
+}
+
+bool wire_peer_decode(const char *data, size_t size, struct ow_peer_message **message)
+{
+    peer_envelope envelope;
+    union body b;
+    memset(&envelope, 0, sizeof envelope);
+    memset(&b, 0, sizeof b);
+    *message = NULL;
+    bool ok = decode((xdrproc_t)xdr_peer_envelope, data, size, &envelope);
+    xdrproc_t coder = ok ? body_coder(envelope.kind) : NULL;
+    if (coder != NULL) {
+        ok = decode(coder, envelope.body.body_val, envelope.body.body_len, &b);
+        if (ok) {
+            *message = read_body(envelope.kind, &b);
+            (*message)->version = envelope.format;
+        }
+        xdr_free(coder, (char *)&b);
+    }
+    xdr_free((xdrproc_t)xdr_peer_envelope, (char *)&envelope);
+    return ok;
 }
--- a/src/wire/peer_xdr.h
+++ b/src/wire/peer_xdr.h
@@ -9,8 +9,9 @@
 enum { WIRE_PEER_MAX = 262144 };
 
 /* Appends one framed message; a message too large to send is left out and answers false. */
-bool wire_peer_encode(const struct ow_peer_message *message, GString *out);
-/* The message of one frame without its length, or NULL. */
-struct ow_peer_message *wire_peer_decode(const char *data, size_t size);
+bool wire_peer_encode(struct ow_peer_message *message, GString *out);
+/* The message of one frame without its length; false: it is none. One of a kind that is not known is left
+   out: NULL and true. */
+bool wire_peer_decode(const char *data, size_t size, struct ow_peer_message **message);
 
 #endif
--- a/src/wire/records_json.c
+++ b/src/wire/records_json.c
@@ -12,6 +12,7 @@
 #define F_STANCE "e"
 #define F_SUBMISSION "s"
 #define F_ACCEPTED "t"
+#define F_COORDINATOR "c"
 #define F_LAST "a"
 #define F_DONE "d"
 #define F_LIVE "l"
@@ -34,6 +35,8 @@
         json_object_set_new(o, F_SUBMISSION, wire_submission_json(record->submission));
     if (record->accepted_at > 0)
         json_object_set_new(o, F_ACCEPTED, json_integer((json_int_t)record->accepted_at));
+    if (record->coordinator > 0)
+        json_object_set_new(o, F_COORDINATOR, json_integer((json_int_t)record->coordinator));
     return take_text(o);
 }
 
@@ -45,6 +48,7 @@
     bool over = wj_count(value, F_STANCE, &stance);
     out->stance = (enum ow_stance)stance;
     wj_number(value, F_ACCEPTED, &out->accepted_at);
+    wj_count(value, F_COORDINATOR, &out->coordinator);
     const json_t *submission = json_object_get(value, F_SUBMISSION);
     if (submission != NULL)
         out->submission = wire_submission_from(submission, &fault);
--- a/tests/test_safety.c
+++ b/tests/test_safety.c
@@ -329,10 +329,16 @@
     world_run(w, 2);
     uint64_t withdrawal = world_withdraw(w, 1, "run-1");
     world_run(w, 4);
-    assert_int_equal(world_answer(w, withdrawal)->stance, OW_CANCELLED);
+    /* While the launch may still be carried out nobody is told that it won't. */
+    assert_int_equal(world_answer(w, withdrawal)->status, 503);
+    assert_true(world_answer(w, withdrawal)->retry_after_s > 0);
     m->cut = false; /* the held launch is carried out now */
     world_run(w, 6);
     assert_int_equal(world_running(w, "run-1"), 0);
+    withdrawal = world_withdraw(w, 1, "run-1");
+    world_run(w, 0.3);
+    assert_int_equal(world_answer(w, withdrawal)->status, 200);
+    assert_int_equal(world_answer(w, withdrawal)->stance, OW_CANCELLED);
     world_run(w, 60);
     world_finish(w);
 }
--- a/tests/test_store_core.c
+++ b/tests/test_store_core.c
@@ -200,19 +200,21 @@
     w->run_s = 100;
     world_submit(w, 0, world_job("run-1", 1, 1));
     world_run(w, 3);
-    uint64_t poll = world_poll(w, 1, "run-1");
+    int asked = (world_leader(w) + 1) % WORLD_NODES, other = (world_leader(w) + 2) % WORLD_NODES;
+    uint64_t poll = world_poll(w, asked, "run-1");
     world_run(w, 0.3);
     assert_int_equal(status_of(w, poll), 200);
-    w->deaf_watches = w->peers_cut = true;
-    uint64_t withdrawal = world_withdraw(w, 2, "run-1");
+    w->deaf_watches = true;
+    uint64_t withdrawal = world_withdraw(w, other, "run-1");
     world_run(w, 0.3);
     assert_int_equal(status_of(w, withdrawal), 200);
-    /* Node 1 learns of it only by asking: rule 5. */
-    poll = world_poll(w, 1, "run-1");
+    /* It learns of it only by asking: rule 5. */
+    poll = world_poll(w, asked, "run-1");
     world_run(w, 0.3);
+    assert_int_equal(status_of(w, poll), 200);
     assert_int_equal(world_answer(w, poll)->stance, OW_CANCELLED);
     w->state_down = true;
-    uint64_t blind = world_poll(w, 0, "run-9"), sure = world_poll(w, 1, "run-1");
+    uint64_t blind = world_poll(w, other, "run-9"), sure = world_poll(w, asked, "run-1");
     world_run(w, 0.5);
     assert_int_equal(status_of(w, blind), 503);
     assert_int_equal(status_of(w, sure), 200);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -146,7 +146,8 @@
 {
     GString *frame = g_string_new(NULL);
     assert_true(wire_peer_encode(m, frame));
-    struct ow_peer_message *again = wire_peer_decode(frame->str + 4, frame->len - 4);
+    struct ow_peer_message *again = NULL;
+    assert_true(wire_peer_decode(frame->str + 4, frame->len - 4, &again));
     g_string_free(frame, TRUE);
     ow_peer_message_free(m);
     return again;
@@ -166,6 +167,45 @@
     ow_peer_message_free(m);
 }
 
+static void test_a_cancellation_goes_to_the_coordinator_whole(void **state)
+{
+    (void)state;
+    for (enum ow_peer_kind kind = OW_PEER_CANCELLATION; kind <= OW_PEER_TAKEN; kind++) {
+        struct ow_peer_message *m = ow_peer_message_new(kind);
+        g_strlcpy(m->job, "run-000412", sizeof m->job);
+        m->revision = UINT64_C(1) << 41;
+        m->number = 77;
+        m = through_xdr(m);
+        assert_non_null(m);
+        assert_int_equal(m->kind, kind);
+        assert_int_equal(m->version, 1);
+        assert_string_equal(m->job, "run-000412");
+        assert_true(m->revision == UINT64_C(1) << 41 && m->number == 77);
+        ow_peer_message_free(m);
+    }
+}
+
+/* A later version's messages: a kind that we don't know is left out, and so is what stands behind the fields
+   of one that we do. */
+static void test_messages_of_later_versions(void **state)
+{
+    (void)state;
+    static const char unknown[] = "\0\0\0\2\0\0\0\143\0\0\0\4abcd";
+    static const char longer[] = "\0\0\0\2\0\0\0\3\0\0\0\14\0\0\0\0\0\0\0\11more";
+    struct ow_peer_message *m = NULL;
+    assert_true(wire_peer_decode(unknown, sizeof unknown - 1, &m));
+    assert_null(m);
+    assert_true(wire_peer_decode(longer, sizeof longer - 1, &m));
+    assert_non_null(m);
+    assert_int_equal(m->kind, OW_PEER_NUDGE);
+    assert_int_equal(m->number, 9);
+    assert_int_equal(m->version, 2);
+    ow_peer_message_free(m);
+    /* A body that ends within the known fields is none. */
+    assert_false(wire_peer_decode("\0\0\0\1\0\0\0\3\0\0\0\4\0\0\0\0", 16, &m));
+    assert_null(m);
+}
+
 static void test_peer_noise(void **state)
 {
     (void)state;
@@ -175,9 +215,14 @@
         for (size_t i = 4; i < sizeof bytes; i++)
             bytes[i] = (char)(g_rand_int(rand) & (round % 3 == 0 ? 0xff : 0x07));
         bytes[3] = (char)(round % 6);
-        ow_peer_message_free(wire_peer_decode(bytes, (size_t)g_rand_int_range(rand, 0, sizeof bytes)));
+        struct ow_peer_message *m = NULL;
+        assert_true(wire_peer_decode(bytes, (size_t)g_rand_int_range(rand, 0, sizeof bytes), &m) ||
+                    m == NULL);
+        ow_peer_message_free(m);
     }
-    assert_null(wire_peer_decode("\0\0\0\11", 4));
+    struct ow_peer_message *none = NULL;
+    assert_false(wire_peer_decode("\0\0\0\11", 4, &none));
+    assert_null(none);
     g_rand_free(rand);
 }
 
@@ -190,6 +235,8 @@
         cmocka_unit_test(test_orders),
         cmocka_unit_test(test_cloud),
         cmocka_unit_test(test_peer_messages),
+        cmocka_unit_test(test_a_cancellation_goes_to_the_coordinator_whole),
+        cmocka_unit_test(test_messages_of_later_versions),
         cmocka_unit_test(test_peer_noise),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world.c
+++ b/tests/world.c
@@ -77,6 +77,7 @@
     w->run_s = 5;
     w->queue = g_ptr_array_new();
     w->answers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, answer_free);
+    w->wishes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     w->told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     w->broken = g_string_new(NULL);
     for (int i = 0; i < WORLD_NODES; i++)
@@ -102,6 +103,7 @@
     world_workers_clear(w);
     g_ptr_array_free(w->queue, TRUE);
     g_hash_table_destroy(w->answers);
+    g_hash_table_destroy(w->wishes);
     g_hash_table_destroy(w->told);
     g_string_free(w->broken, TRUE);
     g_free(w);
@@ -194,6 +196,18 @@
 {
     struct ow_command *c = world_command(OW_COMMAND_SUBMIT, 0);
     c->submission = submission;
+    struct world_wish *wish = g_new0(struct world_wish, 1);
+    *wish = (struct world_wish){.tasks = submission->tasks,
+                                .cpus = submission->need.cpus,
+                                .one_zone = submission->one_zone,
+                                .spread = submission->spread,
+                                .spot = submission->spot};
+    g_strlcpy(wish->team, submission->team, sizeof wish->team);
+    g_strlcpy(wish->zone, submission->zone != NULL ? submission->zone : "", sizeof wish->zone);
+    if (!g_hash_table_contains(w->wishes, submission->id))
+        g_hash_table_insert(w->wishes, g_strdup(submission->id), wish);
+    else
+        g_free(wish);
     return ask(w, node, c);
 }
 
@@ -256,7 +270,7 @@
 
 /* ---- nodes ---- */
 
-static void send_peers(struct world *w, int from, const struct ow_peer_message *message)
+static void send_peers(struct world *w, int from, struct ow_peer_message *message)
 {
     GString *frame = g_string_new(NULL);
     wire_peer_encode(message, frame);
@@ -265,7 +279,8 @@
             from == w->isolated_node)
             continue;
         struct ow_command *c = world_command(OW_COMMAND_PEER, 0);
-        c->peer = wire_peer_decode(frame->str + 4, frame->len - 4);
+        assert_true(wire_peer_decode(frame->str + 4, frame->len - 4, &c->peer));
+        assert_non_null(c->peer);
         world_deliver(w, i, w->node_nonce[i], 0.01, c);
     }
     g_string_free(frame, TRUE);
--- a/tests/world.h
+++ b/tests/world.h
@@ -23,7 +23,9 @@
     char name[32], addr[32], type[16], zone[16];
     bool spot, gone, cut, hangs; /* cut: nothing gets through; hangs: it does nothing at all */
     bool sick;
-    bool deaf; /* its reports arrive; answers and orders do not reach it */
+    bool deaf;     /* its reports arrive; answers and orders do not reach it */
+    bool mute;     /* it reaches no controller; orders reach it */
+    int only_node; /* cut off from every other controller; -1: from none */
     double up_at;
     uint64_t session, seq, token;
     double notice_s;
@@ -34,6 +36,14 @@
     unsigned starts, forgets;
 };
 
+/* What a submission asks for, as the machines' side checks it. */
+struct world_wish {
+    char team[16], zone[16];
+    uint32_t tasks;
+    double cpus;
+    bool one_zone, spread, spot;
+};
+
 struct world_told {
     enum ow_stance stance;
     double at;
@@ -59,10 +69,11 @@
     GHashTable *leases; /* id -> double *: ends at */
     uint64_t revision, last_lease;
     bool state_down, cloud_down, hold_txns, lose_txn_answers;
-    bool deaf_watches;  /* open watches tell nothing before their time is over */
-    bool peers_cut;     /* nothing gets from controller to controller */
-    bool keep_held;     /* what is held stays held */
-    unsigned hold_next; /* so many of the next transactions of `hold_node` are held */
+    double state_slow_s; /* its answers take so much longer */
+    bool deaf_watches;   /* open watches tell nothing before their time is over */
+    bool peers_cut;      /* nothing gets from controller to controller */
+    bool keep_held;      /* what is held stays held */
+    unsigned hold_next;  /* so many of the next transactions of `hold_node` are held */
     int hold_node;
     int denied_node;    /* the state service answers it 503; -1: none */
     int isolated_node;  /* neither the state service nor other controllers are in its reach; -1: none */
@@ -82,6 +93,7 @@
     double run_s;
     GPtrArray *queue;    /* commands on their way to cores */
     GHashTable *answers; /* request -> struct world_answer */
+    GHashTable *wishes;  /* job -> struct world_wish */
     GHashTable *told;    /* job -> struct world_told: how it ended, as its user heard */
     uint64_t last_request;
     GString *broken; /* every rule broken, in words */
--- a/tests/world_state.c
+++ b/tests/world_state.c
@@ -111,7 +111,7 @@
 {
     struct ow_command *c = world_command(OW_COMMAND_STORE, tag);
     c->store = (struct ow_store_reply){tag, 200, w->revision, 0, more, items, NULL};
-    world_deliver(w, node, nonce, 0.01, c);
+    world_deliver(w, node, nonce, 0.01 + w->state_slow_s, c);
 }
 
 static void answer_store(struct world *w, int node, uint64_t nonce, uint64_t tag, int status, GArray *items,
@@ -120,7 +120,7 @@
     struct ow_command *c = world_command(OW_COMMAND_STORE, tag);
     c->store = (struct ow_store_reply){
         tag, status, w->revision, lease, false, items != NULL ? items : new_items(), failed};
-    world_deliver(w, node, nonce, 0.01, c);
+    world_deliver(w, node, nonce, 0.01 + w->state_slow_s, c);
 }
 
 static uint64_t version_of(struct world *w, const char *key)
--- a/tests/world_workers.c
+++ b/tests/world_workers.c
@@ -51,6 +51,7 @@
     m->spot = spot;
     m->session = 1;
     m->notice_s = -1;
+    m->only_node = -1;
     m->up_at = m->renewed_at = m->report_at = w->now;
     m->tasks = g_array_new(FALSE, TRUE, sizeof(struct world_task));
     g_ptr_array_add(w->machines, m);
@@ -105,11 +106,98 @@
     g_hash_table_replace(w->started_on, name, here);
 }
 
+/* Nothing of a job may start once its user has heard that it is over, however it ended. */
 static void check_over(struct world *w, const char *job)
 {
     const struct world_told *told = g_hash_table_lookup(w->told, job);
-    if (told != NULL && told->stance == OW_DONE)
-        g_string_append_printf(w->broken, "%s was told done and is started again; ", job);
+    if (told != NULL)
+        g_string_append_printf(w->broken, "%s was told %s and is started; ", job,
+                               told->stance == OW_DONE ? "done" : "cancelled");
+}
+
+/* Whether nothing gets through between the two, either way. */
+static bool apart(const struct world *w, const struct world_machine *m, int node)
+{
+    return m->cut || node == w->lonely_node || (m->only_node >= 0 && node != m->only_node);
+}
+
+static const struct world_wish *wish_of(struct world *w, const char *job)
+{
+    return g_hash_table_lookup(w->wishes, job);
+}
+
+/* Calls `take` for every task that is on a machine. */
+static void each_task(struct world *w,
+                      void (*take)(struct world *w, const struct world_machine *m, const struct world_task *t,
+                                   void *sum),
+                      void *sum)
+{
+    for (guint i = 0; i < w->machines->len; i++) {
+        const struct world_machine *m = g_ptr_array_index(w->machines, i);
+        for (guint k = 0; !m->gone && k < m->tasks->len; k++) {
+            const struct world_task *t = &g_array_index(m->tasks, struct world_task, k);
+            if (t->phase != OW_EXITED)
+                take(w, m, t, sum);
+        }
+    }
+}
+
+struct use {
+    const char *team;
+    double cpus;
+};
+
+static void add_use(struct world *w, const struct world_machine *m, const struct world_task *t, void *sum)
+{
+    const struct world_wish *wish = wish_of(w, t->job);
+    struct use *use = sum;
+    (void)m;
+    if (wish != NULL && strcmp(wish->team, use->team) == 0)
+        use->cpus += wish->cpus;
+}
+
+/* Limits from the machines' side: whatever the controllers think is there, this is. */
+static void check_limit(struct world *w, const char *job)
+{
+    const struct world_wish *wish = wish_of(w, job);
+    struct use use = {wish != NULL ? wish->team : "", 0};
+    each_task(w, add_use, &use);
+    for (guint i = 0; i < w->settings[0].teams->len; i++) {
+        const struct ow_team_settings *t = &g_array_index(w->settings[0].teams, struct ow_team_settings, i);
+        if (strcmp(t->name, use.team) == 0 && t->cpus_max > 0 && use.cpus > t->cpus_max + 1e-6)
+            g_string_append_printf(w->broken, "team %s uses %g of %g with %s; ", use.team, use.cpus,
+                                   t->cpus_max, job);
+    }
+}
+
+struct place {
+    const char *job;
+    const struct world_machine *here;
+    uint32_t in_zone, elsewhere;
+};
+
+static void add_place(struct world *w, const struct world_machine *m, const struct world_task *t, void *sum)
+{
+    struct place *place = sum;
+    (void)w;
+    if (strcmp(t->job, place->job) != 0)
+        return;
+    if (strcmp(m->zone, place->here->zone) == 0)
+        place->in_zone++;
+    else
+        place->elsewhere++;
+}
+
+static void check_place(struct world *w, const struct world_machine *m, const char *job)
+{
+    const struct world_wish *wish = wish_of(w, job);
+    struct place place = {job, m, 0, 0};
+    if (wish == NULL)
+        return;
+    each_task(w, add_place, &place);
+    if ((wish->zone[0] != '\0' && strcmp(wish->zone, m->zone) != 0) || (m->spot && !wish->spot) ||
+        (wish->one_zone && place.elsewhere > 0) || (wish->spread && place.in_zone > (wish->tasks + 1) / 2))
+        g_string_append_printf(w->broken, "%s is at a wrong place on %s; ", job, m->name);
 }
 
 static void start_task(struct world *w, struct world_machine *m, const struct ow_order *o)
@@ -132,6 +220,10 @@
         m->starts++;
     }
     g_array_append_val(m->tasks, t);
+    if (t.phase != OW_EXITED) {
+        check_limit(w, o->job);
+        check_place(w, m, o->job);
+    }
 }
 
 static void obey(struct world *w, struct world_machine *m, const GArray *orders)
@@ -161,7 +253,7 @@
         world_deliver(w, node, w->node_nonce[node], 0, c);
         return;
     }
-    if (m == NULL || m->gone || m->cut || m->hangs || m->deaf || w->hold_directs || node == w->lonely_node) {
+    if (m == NULL || m->gone || m->hangs || m->deaf || w->hold_directs || apart(w, m, node)) {
         if (m != NULL && !m->gone && (m->cut || w->hold_directs)) {
             /* The cut holds the packets; they get there once it ends. */
             struct late_direct late = {
@@ -207,7 +299,8 @@
     if (index >= w->machines->len)
         return; /* nobody waits for it */
     struct world_machine *m = g_ptr_array_index(w->machines, index);
-    if (!m->report_busy || (uint32_t)e->request != (uint32_t)m->seq || m->cut || m->hangs || m->deaf)
+    if (!m->report_busy || (uint32_t)e->request != (uint32_t)m->seq || m->hangs || m->deaf ||
+        apart(w, m, node))
         return;
     m->report_busy = false;
     m->report_at = w->now + w->settings[0].report_s;
@@ -234,6 +327,7 @@
     if (t->phase == OW_EXITED || w->now < t->phase_at)
         return;
     if (t->phase == OW_FETCHING) {
+        check_over(w, t->job);
         t->phase = OW_RUNNING;
         t->phase_at = w->now + w->run_s;
     } else {
@@ -280,7 +374,7 @@
     if (m->report_busy || w->now < m->report_at || m->cut)
         return;
     m->sent_at = w->now;
-    if (w->cores[m->node] == NULL || m->node == w->lonely_node) {
+    if (w->cores[m->node] == NULL || m->mute || apart(w, m, m->node)) {
         m->node = (m->node + 1) % WORLD_NODES;
         m->report_at = w->now + 1;
         return;
