Meetings of troubles: more of them in the random test, malformed repeats, gangs torn apart

A repeat of an accepted job gets 200 even if nothing but its id can be read; an estimate of 0 is refused with 400; a gang that must stand in several zones and may not gets 422. The fake world checks limits and places from the machines' side, and starts after a confirmed cancellation; the random test has mute machines, cuts by pair, a slow state service, a refused controller, and no job waiting 90 s beside room. A controller that the state service refuses hears nothing by its open watches there, as the protocol says.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -189,7 +189,10 @@
         ow_door_teams(node, c->request);
         break;
     case OW_COMMAND_SUBMIT:
-        ow_door_submit(node, c->request, g_steal_pointer(&c->submission));
+        if (c->submission != NULL)
+            ow_door_submit(node, c->request, g_steal_pointer(&c->submission));
+        else
+            ow_door_malformed(node, c->request, c->id, c->fault);
         break;
     }
 }
--- a/src/core/door.c
+++ b/src/core/door.c
@@ -16,6 +16,7 @@
     uint64_t request;
     char id[OW_ID_MAX + 1];
     const char *never; /* why the job can never run, if that is so */
+    int never_status;
 };
 
 static struct visit *visit_new(uint64_t request, const char *id)
@@ -145,6 +146,12 @@
     return false;
 }
 
+/* A gang whose tasks must stand in several zones, and may not. */
+static bool torn_apart(const struct ow_submission *s)
+{
+    return s->gang && s->spread && s->tasks > 1 && (s->one_zone || s->zone != NULL);
+}
+
 /* NULL when the job can run some day; else why it never can. */
 static const char *never_runs(const struct ow_node *node, const struct ow_submission *s)
 {
@@ -157,6 +164,8 @@
         return "unknown team";
     if (!fits_some_type(node, s))
         return "a task fits no allowed machine type";
+    if (torn_apart(s))
+        return "its tasks must be in several zones, and in one";
     double at_once = s->gang ? s->tasks : 1;
     if ((team->cpus_max > 0 && s->need.cpus * at_once > team->cpus_max) ||
         (team->gpus_max > 0 && s->need.gpus * at_once > team->gpus_max))
@@ -198,16 +207,34 @@
         refuse_busy(node, call->request, "the state service does not answer");
 }
 
-/* What can't run now may have been accepted by another node when it could: such a repeat is no 422. */
+/* What can't run now, or can't be read, may have been accepted by another node before: such a repeat is no
+   422 or 400. */
 static void refuse_if_new(struct ow_node *node, void *data, bool ok)
 {
     const struct visit *v = data;
     if (ok && ow_jobs_find(node->jobs, v->id) == NULL)
-        ow_node_refuse(node, v->request, 422, v->never, 0);
+        ow_node_refuse(node, v->request, v->never_status, v->never, 0);
     else
         answer_fresh(node, data, ok);
 }
 
+static void refuse_unless_known(struct ow_node *node, uint64_t request, const char *id, int status,
+                                const char *why)
+{
+    struct visit *v = visit_new(request, id);
+    v->never = why;
+    v->never_status = status;
+    ow_replica_refresh(node->replica, refuse_if_new, v);
+}
+
+void ow_door_malformed(struct ow_node *node, uint64_t request, const char *id, const char *fault)
+{
+    if (ow_jobs_find(node->jobs, id) != NULL)
+        ow_door_poll(node, request, id);
+    else
+        refuse_unless_known(node, request, id, 400, fault);
+}
+
 static void create_job(struct ow_node *node, uint64_t request, struct ow_submission *s)
 {
     struct submit_call *call = g_new0(struct submit_call, 1);
@@ -231,9 +258,7 @@
     } else if (!ow_replica_loaded(node->replica) || !node->types_known) {
         refuse_busy(node, request, "still starting");
     } else if ((never = never_runs(node, s)) != NULL) {
-        struct visit *v = visit_new(request, s->id);
-        v->never = never;
-        ow_replica_refresh(node->replica, refuse_if_new, v);
+        refuse_unless_known(node, request, s->id, 422, never);
     } else {
         create_job(node, request, s);
         return;
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -125,7 +125,8 @@
     int status;
     char id[OW_ID_MAX + 1];
     struct ow_report *report;
-    struct ow_submission *submission;
+    struct ow_submission *submission; /* NULL: malformed, `id` and `fault` tell the rest */
+    const char *fault;
     struct ow_store_reply store;
     struct ow_cloud_reply cloud;
     struct ow_peer_message *peer;
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -65,13 +65,17 @@
 static void take_submission(struct ow_service *s, const struct ow_http_request *r)
 {
     const char *fault = NULL;
-    struct ow_submission *submission = wire_submission_parse(r->body, r->body_size, &fault);
-    if (submission == NULL) {
+    char id[OW_ID_MAX + 1];
+    struct ow_submission *submission = wire_submission_parse(r->body, r->body_size, id, &fault);
+    if (submission == NULL && *id == '\0') {
         answer_error(s, r->id, 400, fault);
         return;
     }
+    /* With the id of a job that was accepted it is a repeat, whatever else it says. */
     struct ow_command *c = command_new(OW_COMMAND_SUBMIT, r->id);
     c->submission = submission;
+    c->fault = fault;
+    g_strlcpy(c->id, id, sizeof c->id);
     ow_core_push(s->core, c);
 }
 
--- a/src/wire/user_json.c
+++ b/src/wire/user_json.c
@@ -151,15 +151,24 @@
     return NULL;
 }
 
-struct ow_submission *wire_submission_parse(const char *text, size_t size, const char **fault)
+struct ow_submission *wire_submission_parse(const char *text, size_t size, char *id, const char **fault)
 {
     json_t *object = wj_object(text, size);
+    const char *named = NULL;
+    *id = '\0';
     if (object == NULL) {
         *fault = "not a JSON object";
         return NULL;
     }
+    if (wj_string(object, W_ID, &named) && wire_job_id_valid(named))
+        g_strlcpy(id, named, OW_ID_MAX + 1);
     struct ow_submission *s = wire_submission_from(object, fault);
     json_decref(object);
+    /* Asked at the door alone: what is stored was accepted, and stays readable. */
+    if (s != NULL && s->estimate_s <= 0 && s->kind != OW_KIND_SERVICE) {
+        *fault = W_ESTIMATE ": must be above 0";
+        g_clear_pointer(&s, ow_submission_free);
+    }
     return s;
 }
 
--- a/src/wire/user_json.h
+++ b/src/wire/user_json.h
@@ -7,8 +7,9 @@
 #include <jansson.h>
 #include <stddef.h>
 
-/* NULL when malformed; *fault then names the field and what is wrong with it. */
-struct ow_submission *wire_submission_parse(const char *text, size_t size, const char **fault);
+/* NULL when malformed; *fault then names the field and what is wrong with it. `id` (OW_ID_MAX + 1 bytes) is
+   the job's if that much can be read, else empty. */
+struct ow_submission *wire_submission_parse(const char *text, size_t size, char *id, const char **fault);
 struct ow_submission *wire_submission_from(const json_t *object, const char **fault);
 json_t *wire_submission_json(const struct ow_submission *submission);
 
--- a/tests/test_chaos.c
+++ b/tests/test_chaos.c
@@ -39,7 +39,13 @@
 static void strike_machine(struct trouble *t)
 {
     struct world_machine *m = any_machine(t);
-    switch (g_rand_int_range(t->rand, 0, 7)) {
+    switch (g_rand_int_range(t->rand, 0, 9)) {
+    case 7:
+        m->mute = !m->mute;
+        break;
+    case 8:
+        m->only_node = m->only_node < 0 ? g_rand_int_range(t->rand, 0, WORLD_NODES) : -1;
+        break;
     case 4:
         m->deaf = !m->deaf;
         break;
@@ -85,7 +91,16 @@
 
 static void strike_service(struct trouble *t)
 {
-    switch (g_rand_int_range(t->rand, 0, 7)) {
+    switch (g_rand_int_range(t->rand, 0, 10)) {
+    case 7:
+        t->w->denied_node = g_rand_int_range(t->rand, -1, WORLD_NODES);
+        break;
+    case 8:
+        t->w->peers_cut = !t->w->peers_cut;
+        break;
+    case 9:
+        t->w->state_slow_s = t->w->state_slow_s > 0 ? 0 : g_rand_double_range(t->rand, 0.1, 1.2);
+        break;
     case 5:
         t->w->isolated_node = g_rand_int_range(t->rand, -1, WORLD_NODES);
         break;
@@ -124,11 +139,14 @@
 static void calm(struct trouble *t)
 {
     struct world *w = t->w;
-    w->isolated_node = w->lonely_node = -1;
+    w->isolated_node = w->lonely_node = w->denied_node = -1;
+    w->peers_cut = false;
+    w->state_slow_s = 0;
     w->state_down = w->cloud_down = w->hold_txns = w->lose_txn_answers = w->hold_directs = false;
     for (guint i = 0; i < w->machines->len; i++) {
         struct world_machine *m = g_ptr_array_index(w->machines, i);
-        m->cut = m->hangs = m->sick = m->deaf = false;
+        m->cut = m->hangs = m->sick = m->deaf = m->mute = false;
+        m->only_node = -1;
     }
     for (int i = 0; i < WORLD_NODES; i++)
         if (w->cores[i] == NULL)
@@ -190,6 +208,48 @@
     }
 }
 
+/* CPUs of a machine that tasks on it leave. */
+static double free_cpus(struct world *w, const struct world_machine *m)
+{
+    double cpus = strcmp(m->type, "big") == 0 ? 16 : 8;
+    for (guint k = 0; k < m->tasks->len; k++) {
+        const struct world_task *task = &g_array_index(m->tasks, struct world_task, k);
+        const struct world_wish *wish = g_hash_table_lookup(w->wishes, task->job);
+        cpus -= task->phase != OW_EXITED ? wish->cpus : 0;
+    }
+    return cpus;
+}
+
+/* Whether one machine has had room for the whole job for so long. */
+static bool room_for(struct world *w, const struct world_wish *wish)
+{
+    for (guint i = 0; i < w->machines->len; i++) {
+        const struct world_machine *m = g_ptr_array_index(w->machines, i);
+        if (!m->gone && w->now > m->up_at + 10 && free_cpus(w, m) >= wish->tasks * wish->cpus)
+            return true;
+    }
+    return false;
+}
+
+/* Once troubles are over, no job waits 90 s beside room that fits. */
+static void watch_waiting(struct trouble *t, guint32 seed, int seconds)
+{
+    int waited[JOBS] = {0};
+    for (int s = 0; s < seconds; s++) {
+        world_run(t->w, 1);
+        for (int i = 0; i < JOBS; i++) {
+            char id[16];
+            job_id(id, sizeof id, i);
+            const struct world_wish *wish = g_hash_table_lookup(t->w->wishes, id);
+            bool waits = !t->withdrawn[i] && !world_all_done(t->w, id) && world_running(t->w, id) == 0 &&
+                         room_for(t->w, wish);
+            waited[i] = waits ? waited[i] + 1 : 0;
+            if (waited[i] >= 90)
+                fail_msg("seed %u: %s waits beside room", seed, id);
+        }
+    }
+}
+
 static void play(guint32 seed)
 {
     struct trouble t = {.w = world_new(),
@@ -222,7 +282,7 @@
     calm(&t);
     world_run(w, 25);
     poll_all(&t);
-    world_run(w, 175);
+    watch_waiting(&t, seed, 175);
     for (int i = 0; i < JOBS; i++) {
         char id[16];
         job_id(id, sizeof id, i);
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -151,14 +151,16 @@
     (void)state;
     struct world *w = start_world(2);
     int leader = world_leader(w);
-    w->denied_node = leader;
+    w->slow_node = leader;
+    w->state_slow_s = 1.2; /* what it reads is as old when it comes */
     world_submit(w, beside(w), world_job("run-1", 1, 1));
-    world_run(w, 0.5);
+    world_run(w, 0.3);
     struct canceller c = {.id = "run-1", .node = beside(w)};
-    run_cancelling(w, &c, 1);
+    run_cancelling(w, &c, 0.6);
     assert_true(c.told_at > 0);
-    w->denied_node = -1;
-    world_run(w, 20);
+    world_run(w, 4);
+    w->state_slow_s = 0;
+    world_run(w, 16);
     assert_int_equal(world_leader(w), leader);
     assert_int_equal(world_machine(w, "m-0")->starts + world_machine(w, "m-1")->starts, 0);
     /* Its last record is written all the same. */
@@ -190,6 +192,18 @@
     world_finish(w);
 }
 
+/* Until another node than `old` has taken the coordinator's key; its answer is still on the way. */
+static void run_until_taken(struct world *w, int old)
+{
+    for (int i = 0; i < 200; i++) {
+        const char *key = world_value_text(w, OW_KEY_COORDINATOR);
+        if (key != NULL && strstr(key, w->settings[old].node) == NULL)
+            return;
+        world_run(w, 0.05);
+    }
+    fail_msg("nobody takes over");
+}
+
 /* A new leader that has read nothing yet, in an outage: it keeps no task alive that others told to be
  * cancelled. */
 static void test_a_leader_that_has_read_nothing_renews_nothing(void **state)
@@ -203,11 +217,39 @@
     run_cancelling(w, &c, 0.5);
     assert_true(c.told_at > 0);
     world_kill_node(w, old);
-    while (world_leader(w) < 0)
-        world_run(w, 0.05);
+    w->state_slow_s = 0.5;
+    run_until_taken(w, old);
     w->state_down = true;
     m->hangs = false;
     world_run(w, 60);
+    assert_true(world_leader(w) >= 0);
+    assert_int_equal(world_running(w, "run-1"), 0);
+    world_finish(w);
+}
+
+/* One that is told of a cancellation before it knows what there is to end gives no word. */
+static void test_a_leader_that_is_not_ready_gives_no_word(void **state)
+{
+    (void)state;
+    struct world *w = start_world(2);
+    struct world_machine *m = start_job(w, world_job("run-1", 1, 1));
+    w->cloud_down = true;
+    int old = world_leader(w);
+    m->cut = true;
+    world_kill_node(w, old);
+    run_until_taken(w, old);
+    while (world_leader(w) < 0)
+        world_run(w, 0.05);
+    w->slow_node = world_leader(w);
+    w->state_slow_s = 3;
+    world_run(w, 0.3); /* the others learn who leads */
+    struct canceller c = {.id = "run-1", .node = 3 - old - world_leader(w)};
+    run_cancelling(w, &c, 2);
+    assert_true(c.told_at == 0);
+    w->state_slow_s = 0;
+    m->cut = false;
+    run_cancelling(w, &c, 15);
+    assert_true(c.told_at > 0);
     assert_int_equal(world_running(w, "run-1"), 0);
     world_finish(w);
 }
@@ -365,16 +407,20 @@
     w->run_s = 15;
     struct world_machine *m = start_job(w, world_job("run-1", 1, 1));
     m->mute = true;
-    world_run(w, 12);
+    /* A new leader asks it at its own address, is answered, and goes on being answered whenever it orders. */
+    world_kill_node(w, world_leader(w));
+    world_run(w, 6);
     unsigned before = m->starts;
-    for (int i = 2; i < 6; i++) {
+    for (int i = 2; i < 32; i++) {
         char id[16];
         g_snprintf(id, sizeof id, "run-%d", i);
-        world_submit(w, 0, world_job(id, 4, 2));
+        world_submit(w, world_leader(w), world_job(id, 1, 2));
+        world_run(w, 1);
+        before = i == 10 ? m->starts : before;
     }
-    assert_true(world_until(w, 70, world_all_done, "run-5"));
-    assert_true(world_until(w, 70, world_all_done, "run-1"));
     assert_int_equal(m->starts, before);
+    assert_true(world_until(w, 120, world_all_done, "run-31"));
+    assert_true(world_until(w, 70, world_all_done, "run-1"));
     world_finish(w);
 }
 
@@ -504,6 +550,7 @@
         cmocka_unit_test(test_a_cancellation_overtakes_its_job),
         cmocka_unit_test(test_a_withdrawal_that_comes_after_a_take_over),
         cmocka_unit_test(test_a_leader_that_has_read_nothing_renews_nothing),
+        cmocka_unit_test(test_a_leader_that_is_not_ready_gives_no_word),
         cmocka_unit_test(test_a_zone_cut_off_with_its_leader),
         cmocka_unit_test(test_a_leader_returns_with_a_new_token),
         cmocka_unit_test(test_a_cancellation_at_the_end_of_the_last_task),
--- a/tests/test_store_core.c
+++ b/tests/test_store_core.c
@@ -171,6 +171,46 @@
     world_finish(w);
 }
 
+/* Nor is a repeat that can't even be read, as long as its id can. */
+static void test_a_malformed_repeat_is_known_by_its_id(void **state)
+{
+    (void)state;
+    struct world *w = start_world(3, 1);
+    w->deaf_watches = true;
+    world_submit(w, 0, world_job("run-1", 1, 1));
+    world_run(w, 0.1);
+    uint64_t repeat = world_submit_malformed(w, 1, "run-1"), other = world_submit_malformed(w, 1, "run-2");
+    world_run(w, 0.5);
+    assert_int_equal(status_of(w, repeat), 200);
+    assert_int_equal(status_of(w, other), 400);
+    w->state_down = true; /* can't tell */
+    repeat = world_submit_malformed(w, 2, "run-1");
+    other = world_submit_malformed(w, 2, "run-2");
+    world_run(w, 0.5);
+    assert_int_equal(status_of(w, repeat), 503);
+    assert_int_equal(status_of(w, other), 503);
+    world_finish(w);
+}
+
+static void test_a_gang_that_must_be_apart_and_together_is_refused(void **state)
+{
+    (void)state;
+    struct world *w = start_world(1, 1);
+    struct ow_submission *gangs[] = {world_gang("run-1", 2, 1), world_gang("run-2", 2, 1),
+                                     world_gang("run-3", 2, 1), world_gang("run-4", 1, 1)};
+    uint64_t asked[4];
+    for (int i = 0; i < 4; i++)
+        gangs[i]->spread = true;
+    gangs[0]->one_zone = gangs[3]->one_zone = true;
+    gangs[1]->zone = g_strdup("east");
+    for (int i = 0; i < 4; i++)
+        asked[i] = world_submit(w, 0, gangs[i]);
+    world_run(w, 0.5);
+    for (int i = 0; i < 4; i++)
+        assert_int_equal(status_of(w, asked[i]), i < 2 ? 422 : 201);
+    world_finish(w);
+}
+
 static void test_limits_of_teams_are_refused(void **state)
 {
     (void)state;
@@ -291,6 +331,8 @@
         cmocka_unit_test(test_health_tells_an_outage_from_a_refusal_of_one),
         cmocka_unit_test(test_repeats_are_known_by_their_id),
         cmocka_unit_test(test_a_repeat_that_was_just_accepted_elsewhere_is_no_422),
+        cmocka_unit_test(test_a_malformed_repeat_is_known_by_its_id),
+        cmocka_unit_test(test_a_gang_that_must_be_apart_and_together_is_refused),
         cmocka_unit_test(test_limits_of_teams_are_refused),
         cmocka_unit_test(test_a_live_job_is_answered_only_from_a_fresh_read),
         cmocka_unit_test(test_done_is_told_only_once_it_is_recorded),
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -19,8 +19,10 @@
 static struct ow_submission *parse_job(const char *text)
 {
     const char *fault = NULL;
-    struct ow_submission *s = wire_submission_parse(text, strlen(text), &fault);
+    char id[OW_ID_MAX + 1];
+    struct ow_submission *s = wire_submission_parse(text, strlen(text), id, &fault);
     assert_true((s == NULL) == (fault != NULL));
+    assert_true(s == NULL || strcmp(id, s->id) == 0);
     return s;
 }
 
@@ -68,6 +70,16 @@
     {"\"range\":null", "\"range\":7"},
     {"\"same_place\":true", "\"same_place\":1"},
     {"\"preen_s\":4.0,", ""},
+    {"\"flight_s\":240.0", "\"flight_s\":0"},
+    {"\"flight_s\":240.0,", ""},
+    {"\"molt_s\":30.0,", ""},
+    {"\"image_gb\":6.2,", ""},
+    {"\"plumage\":\"img-07\",", ""},
+    {"\"windfall\":true,", ""},
+    {"\"scatter\":false,", ""},
+    {"\"rank\":\"urgent\",", ""},
+    {"\"ram_gb\":64.0,", ""},
+    {"\"gpus\":1,", ""},
     {"{\"ref\"", "[{\"ref\""},
     {"\"later_field\":{}}", "\"later_field\":{}"},
 };
--- a/tests/world.c
+++ b/tests/world.c
@@ -73,7 +73,7 @@
     w->rules = ow_rules_default();
     world_state_init(w);
     world_workers_init(w);
-    w->denied_node = w->isolated_node = w->lonely_node = -1;
+    w->denied_node = w->isolated_node = w->lonely_node = w->slow_node = -1;
     w->run_s = 5;
     w->queue = g_ptr_array_new();
     w->answers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, answer_free);
@@ -211,6 +211,14 @@
     return ask(w, node, c);
 }
 
+uint64_t world_submit_malformed(struct world *w, int node, const char *id)
+{
+    struct ow_command *c = world_command(OW_COMMAND_SUBMIT, 0);
+    g_strlcpy(c->id, id, sizeof c->id);
+    c->fault = "made up";
+    return ask(w, node, c);
+}
+
 uint64_t world_poll(struct world *w, int node, const char *id)
 {
     struct ow_command *c = world_command(OW_COMMAND_POLL, 0);
--- a/tests/world.h
+++ b/tests/world.h
@@ -69,11 +69,12 @@
     GHashTable *leases; /* id -> double *: ends at */
     uint64_t revision, last_lease;
     bool state_down, cloud_down, hold_txns, lose_txn_answers;
-    double state_slow_s; /* its answers take so much longer */
-    bool deaf_watches;   /* open watches tell nothing before their time is over */
-    bool peers_cut;      /* nothing gets from controller to controller */
-    bool keep_held;      /* what is held stays held */
-    unsigned hold_next;  /* so many of the next transactions of `hold_node` are held */
+    double state_slow_s; /* its answers take so much longer, those to `slow_node` or, if that is -1, to all */
+    int slow_node;
+    bool deaf_watches;  /* open watches tell nothing before their time is over */
+    bool peers_cut;     /* nothing gets from controller to controller */
+    bool keep_held;     /* what is held stays held */
+    unsigned hold_next; /* so many of the next transactions of `hold_node` are held */
     int hold_node;
     int denied_node;    /* the state service answers it 503; -1: none */
     int isolated_node;  /* neither the state service nor other controllers are in its reach; -1: none */
@@ -130,6 +131,8 @@
 /* The worker starts over with nothing: its numbers begin anew. */
 void world_reboot(struct world *w, struct world_machine *m);
 uint64_t world_submit(struct world *w, int node, struct ow_submission *submission);
+/* A submission of which nothing but the id can be read. */
+uint64_t world_submit_malformed(struct world *w, int node, const char *id);
 uint64_t world_poll(struct world *w, int node, const char *id);
 uint64_t world_withdraw(struct world *w, int node, const char *id);
 const struct world_answer *world_answer(struct world *w, uint64_t request);
--- a/tests/world_state.c
+++ b/tests/world_state.c
@@ -107,11 +107,16 @@
     g_array_append_val(items, item);
 }
 
+static double answer_time(const struct world *w, int node)
+{
+    return 0.01 + (w->slow_node < 0 || node == w->slow_node ? w->state_slow_s : 0);
+}
+
 static void answer_page(struct world *w, int node, uint64_t nonce, uint64_t tag, GArray *items, bool more)
 {
     struct ow_command *c = world_command(OW_COMMAND_STORE, tag);
     c->store = (struct ow_store_reply){tag, 200, w->revision, 0, more, items, NULL};
-    world_deliver(w, node, nonce, 0.01 + w->state_slow_s, c);
+    world_deliver(w, node, nonce, answer_time(w, node), c);
 }
 
 static void answer_store(struct world *w, int node, uint64_t nonce, uint64_t tag, int status, GArray *items,
@@ -120,7 +125,7 @@
     struct ow_command *c = world_command(OW_COMMAND_STORE, tag);
     c->store = (struct ow_store_reply){
         tag, status, w->revision, lease, false, items != NULL ? items : new_items(), failed};
-    world_deliver(w, node, nonce, 0.01 + w->state_slow_s, c);
+    world_deliver(w, node, nonce, answer_time(w, node), c);
 }
 
 static uint64_t version_of(struct world *w, const char *key)
@@ -370,7 +375,7 @@
     }
     for (guint i = w->follows->len; i > 0 && !w->state_down; i--) {
         struct follow *f = g_ptr_array_index(w->follows, i - 1);
-        if (f->node == w->isolated_node)
+        if (f->node == w->isolated_node || f->node == w->denied_node)
             continue;
         GArray *items = changes_since(w, f->prefix, f->since);
         if ((items->len == 0 || w->deaf_watches) && w->now < f->until) {
--- a/tests/world_workers.c
+++ b/tests/world_workers.c
@@ -160,11 +160,13 @@
 static void check_limit(struct world *w, const char *job)
 {
     const struct world_wish *wish = wish_of(w, job);
-    struct use use = {wish != NULL ? wish->team : "", 0};
-    each_task(w, add_use, &use);
-    for (guint i = 0; i < w->settings[0].teams->len; i++) {
+    for (guint i = 0; wish != NULL && i < w->settings[0].teams->len; i++) {
         const struct ow_team_settings *t = &g_array_index(w->settings[0].teams, struct ow_team_settings, i);
-        if (strcmp(t->name, use.team) == 0 && t->cpus_max > 0 && use.cpus > t->cpus_max + 1e-6)
+        struct use use = {wish->team, 0};
+        if (strcmp(t->name, wish->team) != 0 || t->cpus_max <= 0)
+            continue;
+        each_task(w, add_use, &use);
+        if (use.cpus > t->cpus_max + 1e-6)
             g_string_append_printf(w->broken, "team %s uses %g of %g with %s; ", use.team, use.cpus,
                                    t->cpus_max, job);
     }
@@ -194,7 +196,8 @@
     struct place place = {job, m, 0, 0};
     if (wish == NULL)
         return;
-    each_task(w, add_place, &place);
+    if (wish->one_zone || wish->spread)
+        each_task(w, add_place, &place);
     if ((wish->zone[0] != '\0' && strcmp(wish->zone, m->zone) != 0) || (m->spot && !wish->spot) ||
         (wish->one_zone && place.elsewhere > 0) || (wish->spread && place.in_zone > (wish->tasks + 1) / 2))
         g_string_append_printf(w->broken, "%s is at a wrong place on %s; ", job, m->name);
