--- a/src/config/settings_file.c
+++ b/src/config/settings_file.c
@@ -164,6 +164,19 @@
     return zones;
 }
 
+static double number_or(struct reader *r, const char *path, double least, double most, double otherwise)
+{
+    return toml_doc_kind(r->doc, path) == TOML_NONE ? otherwise : number(r, path, least, most);
+}
+
+/* Limits to come. */
+static void read_next(struct reader *r, struct ow_settings *s)
+{
+    s->next_write_rps = number_or(r, "params.state.next.write_rps", 1, 1e6, s->state_write_rps);
+    s->next_value_kb = number_or(r, "params.state.next.value_kb", 1, 1e6, s->value_kb);
+    s->next_txn_ops = (unsigned)number_or(r, "params.state.next.txn_ops", 1, 1e4, s->txn_ops);
+}
+
 static void read_numbers(struct reader *r, struct ow_settings *s)
 {
     s->report_s = number(r, "params.workers.report_s", 0.1, 3600);
@@ -204,6 +217,7 @@
     s->objectives = read_objectives(&r);
     s->zones = read_zones(&r);
     read_numbers(&r, s);
+    read_next(&r, s);
     toml_doc_free(doc);
     if (r.fault == NULL)
         return s;
--- a/src/core/care.c
+++ b/src/core/care.c
@@ -9,7 +9,7 @@
 /* How long a machine that failed a job is kept from it, and from everybody until another job tells which of
    the two is at fault. */
 static const double BAD_S = 60, SUSPECT_S = 20;
-enum { ERRORS_TO_QUARANTINE = 2, RUN_FAILURES = 3, DEAF_FEW = 2 };
+enum { ERRORS_TO_QUARANTINE = 2, RUN_FAILURES = 3, DEAF_FEW = 2, SILENT_FEW = 3 };
 
 /* Proof by time: a worker ends its tasks when lease_s has passed since it sent the last report that was
    answered. Only answers of ours count once it has seen our token: no older one is accepted. And that report
@@ -71,6 +71,37 @@
         ow_fleet_delete(lead, m, "it reports but does not hear us");
 }
 
+static bool has_replicas(const struct ow_machine *m)
+{
+    for (guint i = 0; i < m->attempts->len; i++)
+        if (ow_run_is_service(((const struct ow_attempt *)g_ptr_array_index(m->attempts, i))->job->run))
+            return true;
+    return false;
+}
+
+static bool fallen_silent(const struct ow_lead *lead, const struct ow_machine *m)
+{
+    return m->fenced && m->seen_at > 0 && !ow_book_heard_lately(lead, m);
+}
+
+/* A machine that alone has fallen silent has hardly been cut off: its replicas serve nobody, and a deletion
+   proves them gone long before its lease does. Where many are silent at once they may serve on behind a cut
+   that heals. */
+static bool few_silent(const struct ow_lead *lead)
+{
+    unsigned silent = 0;
+    for (guint i = 0; i < lead->machines->len; i++)
+        silent += fallen_silent(lead, g_ptr_array_index(lead->machines, i)) ? 1 : 0;
+    return silent <= SILENT_FEW;
+}
+
+static void pursue_for_replicas(struct ow_lead *lead, struct ow_machine *m)
+{
+    if (fallen_silent(lead, m) && m->unheard_since > 0 && has_replicas(m) &&
+        lead->node->now - lead->ready_at > 2.5 * lead->node->settings->report_s)
+        ow_fleet_delete(lead, m, "it is silent, and services miss their replicas");
+}
+
 /* Where many machines don't hear us the fault is hardly theirs. */
 static bool few_deaf(const struct ow_lead *lead)
 {
@@ -107,7 +138,7 @@
             continue;
         struct ow_attempt *at = g_ptr_array_index(m->attempts, i - 1);
         const struct ow_submission *s = at->job->spec->submission;
-        if (s->checkpoint_s <= 0 || left < s->save_s + 1 || at->stop)
+        if (s->kind == OW_KIND_SERVICE || s->checkpoint_s <= 0 || left < s->save_s + 1 || at->stop)
             continue;
         double grace = MIN(left, s->save_s + 2);
         if (s->gang)
@@ -119,7 +150,8 @@
 
 void ow_care_tick(struct ow_lead *lead)
 {
-    bool may_blame = few_deaf(lead);
+    bool may_blame = few_deaf(lead), may_fear = few_silent(lead);
+    ow_replicas_care(lead);
     for (guint i = lead->machines->len; i > 0; i--) {
         if (i > lead->machines->len)
             continue;
@@ -128,13 +160,16 @@
         if (m->lost_at > 0)
             drain_noticed(lead, m);
         /* Recorded tasks on a machine not yet fenced, or orders that found no ear: try its own address. */
-        if ((!m->fenced || m->unheard_since > 0) && m->addr != NULL && m->listed != OW_LISTED_BOOTING)
+        if ((!m->fenced || m->unheard_since > 0 || (fallen_silent(lead, m) && has_replicas(m))) &&
+            m->addr != NULL && m->listed != OW_LISTED_BOOTING)
             m->direct_wanted = true;
         /* A faulty machine is given back; a sound one is rented in its place if it is missed. */
         if (lead->node->now < m->quarantine_until && m->attempts->len == 0)
             ow_fleet_delete(lead, m, "it is faulty");
         pursue_cancelled(lead, m);
         pursue_silent(lead, m);
+        if (may_fear)
+            pursue_for_replicas(lead, m);
         if (may_blame)
             pursue_deaf(lead, m);
     }
@@ -149,14 +184,19 @@
         ((struct ow_machine *)machine)->suspect_until = 0;
 }
 
-void ow_care_error(struct ow_lead *lead, struct ow_machine *m, struct ow_run *run)
+void ow_care_avoid(struct ow_lead *lead, struct ow_machine *m, struct ow_run *run)
 {
-    double now = lead->node->now;
     /* For a while only: a job must not run out of machines because each of them failed it once. */
-    if (now > run->bad_until)
+    if (lead->node->now > run->bad_until)
         g_hash_table_remove_all(run->bad_machines);
-    run->bad_until = now + BAD_S;
+    run->bad_until = lead->node->now + BAD_S;
     g_hash_table_add(run->bad_machines, m);
+}
+
+void ow_care_error(struct ow_lead *lead, struct ow_machine *m, struct ow_run *run)
+{
+    double now = lead->node->now;
+    ow_care_avoid(lead, m, run);
     run->failures = MIN(run->failures + 1, 1000);
     guint bad = g_hash_table_size(run->bad_machines);
     if (bad >= RUN_FAILURES) {
--- a/src/core/classes.c
+++ b/src/core/classes.c
@@ -23,7 +23,8 @@
     const struct ow_submission *s = spec->submission;
     c->estimate_s = c->seen ? c->estimate_s + 0.2 * (s->estimate_s - c->estimate_s) : s->estimate_s;
     c->image_gb = MAX(c->image_gb, s->image_gb);
-    c->largest = MAX(c->largest, s->gang ? s->tasks : 1);
+    c->service = s->kind == OW_KIND_SERVICE;
+    c->largest = MAX(c->largest, s->gang || c->service ? s->tasks : 1);
     c->need = s->need;
     c->gang = s->gang;
     c->spot = s->spot;
@@ -57,6 +58,9 @@
 double ow_class_slack_s(struct ow_node *node, int class_index)
 {
     const struct ow_class *c = ow_class_of(node, class_index);
+    /* A replica that does not run is an outage, whatever aims are stated. */
+    if (c->service)
+        return 0;
     const char *name = ow_names_text(node->names.classes, class_index);
     double slack = INFINITY;
     for (guint i = 0; i < node->settings->objectives->len; i++) {
@@ -84,6 +88,8 @@
 
 bool ow_class_has_aim(struct ow_node *node, int class_index)
 {
+    if (ow_class_of(node, class_index)->service)
+        return true;
     const char *name = ow_names_text(node->names.classes, class_index);
     for (guint i = 0; i < node->settings->objectives->len; i++)
         if (strcmp(g_array_index(node->settings->objectives, struct ow_objective, i).class_name, name) == 0)
--- a/src/core/classes.h
+++ b/src/core/classes.h
@@ -11,8 +11,8 @@
     bool seen;
     struct ow_amounts need; /* of the last job */
     double estimate_s, image_gb;
-    uint32_t largest; /* tasks of the largest gang */
-    bool gang, spot;
+    uint32_t largest; /* tasks of the largest gang or service */
+    bool gang, spot, service;
     enum ow_rank rank;
     uint64_t types;
     double peak, peak_at; /* tasks that ran or waited at once, slowly forgotten */
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -31,6 +31,8 @@
     node->settings = settings;
     node->rules = rules;
     node->nonce = nonce;
+    node->limits = ow_limits_of(settings);
+    node->peer_formats = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     node->calls = ow_calls_new();
     node->names = (struct ow_name_tables){ow_names_new(), ow_names_new(), ow_names_new(), ow_names_new(),
                                           ow_names_new()};
@@ -67,6 +69,7 @@
     ow_names_free(node->names.types);
     g_array_free(node->classes, TRUE);
     g_hash_table_destroy(node->peers_ok);
+    g_hash_table_destroy(node->peer_formats);
     g_array_free(node->machine_hints, TRUE);
     g_ptr_array_free(node->effects, TRUE);
     g_free(core);
@@ -131,6 +134,9 @@
         node->peer_heard_at = node->now;
     switch (message->kind) {
     case OW_PEER_HELLO:
+        if (message->node != NULL)
+            g_hash_table_replace(node->peer_formats, g_strdup(message->node),
+                                 GUINT_TO_POINTER(message->version));
         if (message->number > 0)
             ow_election_saw_token(node->election, message->number, message->leads ? message->node : NULL);
         if (message->hears_workers)
--- a/src/core/door.c
+++ b/src/core/door.c
@@ -146,10 +146,10 @@
     return false;
 }
 
-/* A gang whose tasks must stand in several zones, and may not. */
+/* A gang or service whose tasks must stand in several zones, and may not. */
 static bool torn_apart(const struct ow_submission *s)
 {
-    return s->gang && s->spread && s->tasks > 1 && (s->one_zone || s->zone != NULL);
+    return s->kind != OW_KIND_ARRAY && s->spread && s->tasks > 1 && (s->one_zone || s->zone != NULL);
 }
 
 /* NULL when the job can run some day; else why it never can. */
@@ -166,7 +166,7 @@
         return "a task fits no allowed machine type";
     if (torn_apart(s))
         return "its tasks must be in several zones, and in one";
-    double at_once = s->gang ? s->tasks : 1;
+    double at_once = s->gang || s->kind == OW_KIND_SERVICE ? s->tasks : 1;
     if ((team->cpus_max > 0 && s->need.cpus * at_once > team->cpus_max) ||
         (team->gpus_max > 0 && s->need.gpus * at_once > team->gpus_max))
         return "over the team's limit";
@@ -235,14 +235,30 @@
         refuse_unless_known(node, request, id, 400, fault);
 }
 
+/* NULL and an answer if the record doesn't fit a value of the state service. */
+static char *record_that_fits(struct ow_node *node, uint64_t request, const struct ow_job_record *record)
+{
+    char *text = wire_job_record(record);
+    if (strlen(text) <= node->limits.value_bytes)
+        return text;
+    g_free(text);
+    ow_node_refuse(node, request, 422, "its description is too large to be recorded", 0);
+    return NULL;
+}
+
 static void create_job(struct ow_node *node, uint64_t request, struct ow_submission *s)
 {
-    struct submit_call *call = g_new0(struct submit_call, 1);
     struct ow_job_record record = {.stance = OW_QUEUED, .accepted_at = node->time_of_day, .submission = s};
+    char *text = record_that_fits(node, request, &record);
+    if (text == NULL) {
+        ow_submission_free(s);
+        return;
+    }
+    struct submit_call *call = g_new0(struct submit_call, 1);
     struct ow_store_request *txn = ow_store_request_new(OW_STORE_TXN, NULL);
     char *key = job_key(s->id);
     ow_store_expect(txn, key, 0);
-    ow_store_write(txn, key, wire_job_record(&record), 0);
+    ow_store_write(txn, key, text, 0);
     g_free(key);
     call->submission = s;
     call->request = request;
@@ -327,6 +343,15 @@
                                    .accepted_at = node->time_of_day - (node->now - job->came_at),
                                    .coordinator = coordinator,
                                    .submission = job->spec->submission};
+    char *text = wire_job_record(&record);
+    if (strlen(text) > node->limits.value_bytes) {
+        /* Accepted when values were larger. Nothing of it will start, so its types don't matter any more. */
+        struct ow_submission short_form = *record.submission;
+        short_form.types = NULL;
+        record.submission = &short_form;
+        g_free(text);
+        text = wire_job_record(&record);
+    }
     struct ow_store_request *txn = ow_store_request_new(OW_STORE_TXN, NULL);
     struct withdraw_call *call = g_new0(struct withdraw_call, 1);
     char *key = job_key(job->id);
@@ -335,7 +360,7 @@
     call->coordinator = coordinator;
     ow_store_expect(txn, OW_KEY_COORDINATOR, coordinator);
     ow_store_expect(txn, key, job->version);
-    ow_store_write(txn, key, wire_job_record(&record), 0);
+    ow_store_write(txn, key, text, 0);
     g_free(key);
     ow_node_store(node, txn, on_withdrawn, node, call, g_free);
 }
--- a/src/core/lead.c
+++ b/src/core/lead.c
@@ -35,6 +35,7 @@
 void ow_lead_free(struct ow_lead *lead)
 {
     ow_calls_forget(lead->node->calls, lead);
+    ow_takeover_free(lead);
     while (lead->runs->len > 0)
         ow_run_drop(lead, g_ptr_array_index(lead->runs, 0));
     g_ptr_array_free(lead->runs, TRUE);
@@ -136,8 +137,14 @@
         return;
     /* For whoever starts while the cloud is down. */
     struct ow_store_request *txn = ow_store_request_new(OW_STORE_TXN, NULL);
+    char *record = wire_types_record(answer->cloud.types);
+    if (strlen(record) > lead->node->limits.value_bytes)
+        g_warning(
+            "the machine types don't fit a value: who starts while the cloud is down can't accept jobs");
     ow_store_expect(txn, OW_KEY_COORDINATOR, lead->token);
-    ow_store_write(txn, OW_KEY_TYPES, wire_types_record(answer->cloud.types), 0);
+    if (strlen(record) <= lead->node->limits.value_bytes)
+        ow_store_write(txn, OW_KEY_TYPES, g_steal_pointer(&record), 0);
+    g_free(record);
     ow_node_store(lead->node, txn, NULL, lead, NULL, NULL);
 }
 
@@ -198,6 +205,7 @@
 void ow_lead_tick(struct ow_lead *lead)
 {
     double now = lead->node->now;
+    ow_format_tick(lead);
     ow_takeover_tick(lead);
     ask_types(lead);
     if (lead->phase != OW_LEAD_READY)
--- a/src/core/lead_state.h
+++ b/src/core/lead_state.h
@@ -5,6 +5,7 @@
 #include "core/classes.h"
 #include "core/lead.h"
 #include "core/node.h"
+#include "core/records.h"
 
 struct ow_recorder;
 
@@ -40,14 +41,10 @@
     struct ow_attempt *attempt; /* NULL: none may exist */
 };
 
-/* Tasks are recorded in runs of this many: such a record fits the state service's smallest value. */
-enum { OW_CHUNK_TASKS = 256 };
-
 struct ow_chunk {
     struct ow_job *job;
     uint32_t index;
     struct ow_group *group; /* where its record stands; NULL: nowhere yet */
-    uint64_t version;       /* of the value that it was loaded from */
     uint64_t last_attempt;
     bool dirty, writing;
 };
@@ -59,11 +56,19 @@
     uint64_t version;  /* of its value; 0: none */
     int class_index;   /* of its chunks */
     GPtrArray *chunks; /* struct ow_chunk, of runs */
+    bool refines;      /* its only chunk does not fit a value and is to be divided */
+    GArray *kept;      /* struct ow_kept: its value says something that must first be recorded elsewhere */
     size_t bytes;      /* of its value as last written, and an estimate of what came since */
     struct ow_write *queued;
     struct ow_group *after; /* chunks moved there: it must be written first, or they would be nowhere */
 };
 
+/* Tasks of a run that a value records in chunks of another size than the run has now. */
+struct ow_kept {
+    struct ow_job *job;
+    uint32_t first, end;
+};
+
 struct ow_run {
     struct ow_job *job;
     struct ow_task *tasks;
@@ -71,6 +76,7 @@
     GPtrArray *attempts; /* that may exist */
     struct ow_chunk *chunks;
     uint32_t chunk_count;
+    uint32_t chunk_tasks;     /* of each chunk but the last */
     uint32_t cursor;          /* no pending task below it */
     bool finishing;           /* its last record is queued or under way */
     bool aged;                /* it is old, begun or not; of the pass at hand */
@@ -174,6 +180,10 @@
     bool load_busy;
     double load_at;
     char *load_after;
+    GArray *loaded;  /* takeover.c: records read so far */
+    unsigned format; /* that may be written; 0: not known yet */
+    bool format_busy;
+    double format_at;
     double ready_at; /* when it became ready */
 
     GHashTable *machines_by_name;
@@ -212,7 +222,20 @@
     return m->type >= 0 && m->type < OW_MAX_TYPES ? lead->node->types[m->type] : NULL;
 }
 
+/* A service's replicas are never done: one that ends, for whatever cause, runs again. */
+static inline bool ow_run_is_service(const struct ow_run *run)
+{
+    return run->job->spec->submission->kind == OW_KIND_SERVICE;
+}
+
+static inline struct ow_chunk *ow_run_chunk(const struct ow_run *run, uint32_t task)
+{
+    return &run->chunks[task / run->chunk_tasks];
+}
+
 /* run.c */
+/* Divides its tasks anew; no chunk of it may be in a group or a write. */
+void ow_run_divide(struct ow_run *run, uint32_t chunk_tasks);
 struct ow_run *ow_run_get(struct ow_lead *lead, struct ow_job *job);
 void ow_run_drop(struct ow_lead *lead, struct ow_run *run);
 struct ow_attempt *ow_attempt_new(struct ow_lead *lead, struct ow_run *run, uint32_t task, uint64_t number,
@@ -293,15 +316,27 @@
 /* pack.c */
 struct ow_group *ow_pack_find(const struct ow_lead *lead, uint32_t number);
 struct ow_group *ow_pack_get(struct ow_lead *lead, uint32_t number);
+/* The value goes on saying what it says of these tasks, until all of them are recorded elsewhere. */
+void ow_pack_keep(struct ow_group *group, struct ow_job *job, uint32_t first, uint32_t end);
+/* Whether the value must stay as it is for now. */
+bool ow_pack_kept(struct ow_group *group);
+/* Records the run in smaller chunks from now on. Nothing of it may be in a write. */
+void ow_pack_refine(struct ow_lead *lead, struct ow_run *run);
 void ow_pack_add(struct ow_group *group, struct ow_chunk *chunk);
 void ow_pack_join(struct ow_lead *lead, struct ow_chunk *chunk);
 /* The group that it has left, or NULL. */
 struct ow_group *ow_pack_leave(struct ow_chunk *chunk);
 /* The group's value. What does not fit moves to another group, which must be written first. */
 char *ow_pack_value(struct ow_lead *lead, struct ow_group *group, struct ow_group **moved);
+/* The tasks of a chunk that is made now. */
+uint32_t ow_pack_chunk_tasks(const struct ow_lead *lead);
 void ow_group_free(void *group);
 
+/* format.c: which format of records may be written */
+void ow_format_tick(struct ow_lead *lead);
+
 /* takeover.c */
+void ow_takeover_free(struct ow_lead *lead);
 void ow_takeover_tick(struct ow_lead *lead);
 
 /* schedule.c */
@@ -344,9 +379,17 @@
 GArray *ow_place_new_loads(void);
 void ow_place_weigh_images(struct ow_lead *lead);
 void ow_place_array(struct ow_lead *lead, struct ow_run *run);
+/* The zone where tasks that must stay together fit best. */
+int ow_place_best_zone(const struct ow_run *run, const GArray *rooms);
+/* replicas.c: services */
+void ow_replicas_place(struct ow_lead *lead, struct ow_run *run);
+/* Moves replicas off machines that are about to go. */
+void ow_replicas_care(struct ow_lead *lead);
 void ow_place_task(struct ow_lead *lead, struct ow_run *run, uint32_t task, uint64_t number,
                    struct ow_machine *m);
 uint32_t ow_place_next_pending(struct ow_run *run);
+/* The number of the next attempt of any task. */
+uint64_t ow_run_next_attempt(const struct ow_run *run);
 
 /* reservation.c */
 void ow_reservation_try(struct ow_lead *lead, struct ow_run *run);
@@ -383,6 +426,8 @@
 
 /* care.c: silent, sick and noticed machines; proofs by time */
 void ow_care_tick(struct ow_lead *lead);
+/* The run keeps off the machine for a while. */
+void ow_care_avoid(struct ow_lead *lead, struct ow_machine *m, struct ow_run *run);
 void ow_care_error(struct ow_lead *lead, struct ow_machine *m, struct ow_run *run);
 
 /* reason.c */
--- /dev/null
+++ b/src/core/limits.c
@@ -0,0 +1,34 @@
+#include "core/limits.h"
+
+/* What one task takes in a progress record at most: a machine with its session, the task and its attempt, or
+   a mark among those that are done. Beside them a record has its name and its frame. */
+enum { TASK_BYTES = 30, FRAME_BYTES = 150, LEAST_TASKS = 8, LEAST_BYTES = 256 };
+
+struct ow_limits ow_limits_of(const struct ow_settings *s)
+{
+    struct ow_limits limits = {
+        .value_bytes = (size_t)(MIN(s->value_kb, s->next_value_kb) * 1024),
+        .value_bytes_now = (size_t)(s->value_kb * 1024),
+        .txn_ops = MIN(s->txn_ops, s->next_txn_ops),
+        .write_rps = MIN(s->state_write_rps, s->next_write_rps),
+    };
+    return limits;
+}
+
+bool ow_limits_halve(struct ow_limits *limits)
+{
+    if (limits->txn_ops <= 1 && limits->value_bytes <= LEAST_BYTES)
+        return false;
+    limits->txn_ops = MAX(limits->txn_ops / 2, 1);
+    limits->value_bytes = MAX(limits->value_bytes / 2, LEAST_BYTES);
+    limits->value_bytes_now = limits->value_bytes;
+    return true;
+}
+
+unsigned ow_limits_tasks(const struct ow_limits *limits)
+{
+    unsigned tasks = LEAST_TASKS;
+    while (tasks < 256 && FRAME_BYTES + 2 * tasks * TASK_BYTES <= limits->value_bytes)
+        tasks *= 2;
+    return tasks;
+}
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -6,6 +6,7 @@
 #include "core/calls.h"
 #include "core/effects.h"
 #include "core/job.h"
+#include "core/limits.h"
 #include "core/settings.h"
 
 struct ow_confirm;
@@ -16,7 +17,10 @@
 struct ow_node {
     const struct ow_settings *settings;
     const struct ow_rules *rules;
-    uint64_t nonce; /* tells this process from others of the same name */
+    struct ow_limits limits;
+    GHashTable
+        *peer_formats; /* peer name -> GUINT_TO_POINTER: the format of messages and records it speaks */
+    uint64_t nonce;    /* tells this process from others of the same name */
     double now;
     double time_of_day; /* roughly: nothing that must be safe rests on it */
     GPtrArray *effects;
--- a/src/core/pack.c
+++ b/src/core/pack.c
@@ -14,7 +14,14 @@
 
 static size_t value_limit(const struct ow_lead *lead)
 {
-    return (size_t)(lead->node->settings->value_kb * 1024);
+    return lead->node->limits.value_bytes;
+}
+
+uint32_t ow_pack_chunk_tasks(const struct ow_lead *lead)
+{
+    return lead->format >= OW_FORMAT_FINE
+               ? MIN(ow_limits_tasks(&lead->node->limits), (unsigned)OW_CHUNK_TASKS)
+               : OW_CHUNK_TASKS;
 }
 
 static struct ow_group *group_new(struct ow_lead *lead, uint32_t number)
@@ -23,6 +30,7 @@
     g->number = number;
     g->class_index = OW_NO_NAME;
     g->chunks = g_ptr_array_new();
+    g->kept = g_array_new(FALSE, FALSE, sizeof(struct ow_kept));
     g_ptr_array_add(lead->groups, g);
     return g;
 }
@@ -31,6 +39,7 @@
 {
     struct ow_group *g = group;
     g_ptr_array_free(g->chunks, TRUE);
+    g_array_free(g->kept, TRUE);
     g_free(g);
 }
 
@@ -60,8 +69,8 @@
 
 static size_t expected_bytes(const struct ow_chunk *chunk)
 {
-    uint32_t first = chunk->index * OW_CHUNK_TASKS;
-    return CHUNK_BYTES + TASK_BYTES * MIN(chunk->job->run->count - first, (uint32_t)OW_CHUNK_TASKS);
+    const struct ow_run *run = chunk->job->run;
+    return CHUNK_BYTES + TASK_BYTES * MIN(run->count - chunk->index * run->chunk_tasks, run->chunk_tasks);
 }
 
 void ow_pack_add(struct ow_group *g, struct ow_chunk *chunk)
@@ -80,6 +89,8 @@
     struct ow_group *best = NULL;
     for (guint i = 0; i < lead->groups->len; i++) {
         struct ow_group *g = g_ptr_array_index(lead->groups, i);
+        if (g->kept->len > 0)
+            continue;
         bool alike = g->chunks->len == 0 || g->class_index == chunk->job->spec->class_index;
         if (alike && (g->chunks->len == 0 || g->bytes + bytes <= room) &&
             (best == NULL || g->chunks->len > best->chunks->len))
@@ -99,6 +110,53 @@
     return g;
 }
 
+void ow_pack_keep(struct ow_group *g, struct ow_job *job, uint32_t first, uint32_t end)
+{
+    struct ow_kept kept = {job, first, end};
+    g_array_append_val(g->kept, kept);
+}
+
+/* Whether all of it stands in other values by now, or means nothing any more. */
+static bool settled(const struct ow_kept *kept)
+{
+    const struct ow_run *run = kept->job->run;
+    for (uint32_t task = kept->first; run != NULL && task < kept->end; task += run->chunk_tasks) {
+        const struct ow_chunk *chunk = ow_run_chunk(run, task);
+        if (chunk->group == NULL || chunk->dirty || chunk->writing)
+            return false;
+    }
+    return true;
+}
+
+bool ow_pack_kept(struct ow_group *g)
+{
+    for (guint i = g->kept->len; i > 0; i--)
+        if (settled(&g_array_index(g->kept, struct ow_kept, i - 1)))
+            g_array_remove_index_fast(g->kept, i - 1);
+    return g->kept->len > 0;
+}
+
+void ow_pack_refine(struct ow_lead *lead, struct ow_run *run)
+{
+    uint32_t tasks = run->chunk_tasks, finer = MIN(ow_pack_chunk_tasks(lead), tasks / 2);
+    uint64_t last = 0;
+    for (uint32_t i = 0; i < run->chunk_count; i++) {
+        struct ow_chunk *chunk = &run->chunks[i];
+        struct ow_group *g = ow_pack_leave(chunk);
+        last = MAX(last, chunk->last_attempt);
+        if (g == NULL)
+            continue;
+        ow_pack_keep(g, run->job, i * tasks, MIN(run->count, (i + 1) * tasks));
+        ow_recorder_tidy(lead, g);
+    }
+    ow_run_divide(run, finer);
+    for (uint32_t i = 0; i < run->chunk_count; i++)
+        run->chunks[i].last_attempt = last;
+    for (uint32_t task = 0; task < run->count; task += finer)
+        ow_recorder_chunk(lead, run, task, true);
+    g_info("job %s: recorded in chunks of %u tasks from now on", run->job->id, finer);
+}
+
 static gint by_place(gconstpointer a, gconstpointer b)
 {
     const struct ow_live_record *x = a, *y = b;
@@ -118,7 +176,7 @@
         .done = g_array_new(FALSE, FALSE, sizeof(uint32_t)),
         .live = g_array_new(FALSE, FALSE, sizeof(struct ow_live_record)),
     };
-    uint32_t first = chunk->index * OW_CHUNK_TASKS, end = MIN(run->count, first + OW_CHUNK_TASKS);
+    uint32_t first = chunk->index * run->chunk_tasks, end = MIN(run->count, first + run->chunk_tasks);
     for (uint32_t task = first; task < end; task++) {
         const struct ow_attempt *at = run->tasks[task].attempt;
         if (run->tasks[task].done)
@@ -140,7 +198,7 @@
     for (guint i = 0; i < g->chunks->len; i++) {
         const struct ow_chunk *chunk = g_ptr_array_index(g->chunks, i);
         char *value = chunk_value(chunk);
-        wire_progress_group_add(text, chunk->job->id, chunk->index, value);
+        wire_progress_group_add(text, chunk->job->id, chunk->index, chunk->job->run->chunk_tasks, value);
         g_free(value);
     }
     wire_progress_group_end(text);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -194,7 +194,7 @@
 void ow_place_task(struct ow_lead *lead, struct ow_run *run, uint32_t task, uint64_t number,
                    struct ow_machine *m)
 {
-    struct ow_chunk *chunk = &run->chunks[task / OW_CHUNK_TASKS];
+    struct ow_chunk *chunk = ow_run_chunk(run, task);
     chunk->last_attempt = MAX(chunk->last_attempt, number);
     ow_attempt_new(lead, run, task, number, m, m->session)->shielded = run->starves || run->aged;
     ow_book_image_use(lead, m, run->job->spec, false);
@@ -203,7 +203,7 @@
 }
 
 /* The zone where an array that must stay together fits best. */
-static int best_zone(const struct ow_run *run, const GArray *rooms)
+int ow_place_best_zone(const struct ow_run *run, const GArray *rooms)
 {
     int best = OW_NO_NAME;
     uint64_t most = 0;
@@ -311,13 +311,11 @@
     if (wanted == 0)
         return;
     GArray *rooms = ow_place_rooms(lead, run);
-    int only = run->job->spec->submission->one_zone ? best_zone(run, rooms) : OW_NO_NAME;
+    int only = run->job->spec->submission->one_zone ? ow_place_best_zone(run, rooms) : OW_NO_NAME;
     uint32_t placed = 0;
     double work = load_of(lead, run->job->spec->image)->work_s;
     double slots = load_of(lead, run->job->spec->image)->slots;
-    uint64_t number = 0;
-    for (uint32_t c = 0; c < run->chunk_count; c++)
-        number = MAX(number, run->chunks[c].last_attempt + 1);
+    uint64_t number = ow_run_next_attempt(run);
     for (guint i = 0; i < rooms->len && placed < wanted; i++) {
         struct ow_room *room = &g_array_index(rooms, struct ow_room, i);
         if (only != OW_NO_NAME && room->machine->zone != only)
--- a/src/core/reason.c
+++ b/src/core/reason.c
@@ -53,6 +53,9 @@
         return g_strdup_printf(
             "short of room for all %u tasks at once; holds room for %u and keeps its place", run->count,
             run->reservation != NULL ? MIN(run->reservation->holds->len, run->count) : 0);
+    if (ow_run_is_service(run))
+        return g_strdup_printf("%u of %u replicas wait for room on %u machines", pending, run->count,
+                               there.usable);
     if (ow_place_cheaply(lead, run))
         return g_strdup_printf("%u tasks wait for room on cheap machines; before long they go on any",
                                pending);
--- a/src/core/recorder.c
+++ b/src/core/recorder.c
@@ -9,10 +9,10 @@
 
 #include <string.h>
 
-enum { TXN_BYTES = 60 * 1024, KEY_BYTES = 120 };
+enum { TXN_BYTES = 60 * 1024, KEY_BYTES = 120, LEAST_CHUNK_TASKS = 8 };
 /* Progress alone may wait so long for company, and values that hold what is over; the rest goes out at once.
  */
-static const double LAZY_S = 1.5, TIDY_S = 10, RETRY_S = 0.2;
+static const double LAZY_S = 1.5, TIDY_S = 10, RETRY_S = 0.2, REFUSED_S = 5;
 
 enum write_kind { WRITE_GROUP, WRITE_FINISH };
 
@@ -37,7 +37,7 @@
 struct ow_recorder *ow_recorder_new(struct ow_lead *lead)
 {
     struct ow_recorder *r = g_new0(struct ow_recorder, 1);
-    double rate = lead->node->settings->state_write_rps;
+    double rate = lead->node->limits.write_rps;
     r->queue = g_ptr_array_new_with_free_func(g_free);
     r->sent = g_ptr_array_new_with_free_func(g_free);
     /* A share is left for submissions and withdrawals, which any controller writes. */
@@ -81,7 +81,7 @@
 
 void ow_recorder_chunk(struct ow_lead *lead, struct ow_run *run, uint32_t task, bool launching)
 {
-    struct ow_chunk *chunk = &run->chunks[task / OW_CHUNK_TASKS];
+    struct ow_chunk *chunk = ow_run_chunk(run, task);
     double now = lead->node->now;
     if (ow_job_over(run->job) || run->finishing)
         return;
@@ -141,17 +141,31 @@
         chunk->dirty = false;
         for (guint k = 0; k < run->attempts->len; k++) {
             struct ow_attempt *at = g_ptr_array_index(run->attempts, k);
-            if (at->state == OW_AT_PLANNED && at->task / OW_CHUNK_TASKS == chunk->index)
+            if (at->state == OW_AT_PLANNED && at->task / run->chunk_tasks == chunk->index)
                 at->in_write = serial;
         }
     }
 }
 
+/* Whether the value is too large although it holds a single chunk, which can be divided. Before every
+   controller reads smaller ones it goes out as it is, while the state service still takes it. */
+static bool needs_refining(const struct ow_lead *lead, const struct ow_group *g, const char *value)
+{
+    if (strlen(value) <= lead->node->limits.value_bytes || g->chunks->len != 1)
+        return false;
+    const struct ow_chunk *chunk = g_ptr_array_index(g->chunks, 0);
+    return lead->format >= OW_FORMAT_FINE && chunk->job->run->chunk_tasks > LEAST_CHUNK_TASKS;
+}
+
 static void put_group(struct ow_lead *lead, struct ow_write *w, struct ow_store_request *txn)
 {
     struct ow_group *g = w->group, *moved = NULL;
     char *value = ow_pack_value(lead, g, &moved);
-    if (moved != NULL) {
+    if (moved == NULL && needs_refining(lead, g, value)) {
+        g->refines = true;
+        g_free(value);
+        enqueue_group(lead->recorder, g, w->order, w->due_at);
+    } else if (moved != NULL) {
         /* Its old value still has what has moved: it must not be replaced before that is written. */
         g->after = moved;
         g_free(value);
@@ -200,7 +214,7 @@
    nothing gains by waiting longer; urgent writes take the others along. */
 static bool must_wait(const struct ow_write *w, double now, bool spare)
 {
-    if (w->kind == WRITE_GROUP && w->group->after != NULL)
+    if (w->kind == WRITE_GROUP && (w->group->after != NULL || w->group->refines || ow_pack_kept(w->group)))
         return true;
     return w->due_at > now && !(spare && w->due_at - now < LAZY_S / 2);
 }
@@ -210,8 +224,8 @@
 {
     struct ow_recorder *r = lead->recorder;
     double now = lead->node->now;
-    guint most = (guint)MIN((double)lead->node->settings->txn_ops, ow_bucket_level(&r->changes, now));
-    size_t value = (size_t)(lead->node->settings->value_kb * 1024);
+    guint most = (guint)MIN((double)lead->node->limits.txn_ops, ow_bucket_level(&r->changes, now));
+    size_t value = lead->node->limits.value_bytes_now;
     bool spare = ow_bucket_level(&r->changes, now) > 0.8 * r->changes.depth;
     g_ptr_array_sort(r->queue, by_order);
     for (guint i = 0; i < r->queue->len && txn->changes->len < most &&
@@ -248,7 +262,7 @@
         for (guint k = 0; k < run->attempts->len; k++) {
             struct ow_attempt *at = g_ptr_array_index(run->attempts, k);
             if (at->state == OW_AT_PLANNED && at->in_write == lead->recorder->serial &&
-                at->task / OW_CHUNK_TASKS == chunk->index) {
+                at->task / run->chunk_tasks == chunk->index) {
                 at->state = OW_AT_COMMITTED;
                 at->machine->direct_wanted = true;
             }
@@ -380,10 +394,29 @@
     r->act_at = lead->node->now + RETRY_S;
     if (reply->status == 429)
         ow_bucket_empty(&r->changes, lead->node->now);
+    /* Too large: the limits have changed otherwise than the settings say. The same again would fail for ever.
+     */
+    if (reply->status == 400) {
+        bool smaller = ow_limits_halve(&lead->node->limits);
+        g_warning("the state service refuses a write as malformed or too large; %s",
+                  smaller ? "the next ones are half as large" : "it can't be made smaller");
+        r->act_at = lead->node->now + (smaller ? RETRY_S : REFUSED_S);
+    }
     for (char **key = reply->status == 409 ? reply->failed : NULL; key != NULL && *key != NULL; key++)
         check_key(lead, *key);
 }
 
+/* Here nothing of them is in a write. */
+static void refine_groups(struct ow_lead *lead)
+{
+    for (guint i = 0; i < lead->groups->len; i++) {
+        struct ow_group *g = g_ptr_array_index(lead->groups, i);
+        if (g->refines && g->chunks->len > 0)
+            ow_pack_refine(lead, ((struct ow_chunk *)g_ptr_array_index(g->chunks, 0))->job->run);
+        g->refines = false;
+    }
+}
+
 void ow_recorder_tick(struct ow_lead *lead)
 {
     struct ow_recorder *r = lead->recorder;
@@ -391,6 +424,7 @@
     if (r->busy || r->checking > 0 || now < r->act_at || r->queue->len == 0 ||
         ow_bucket_level(&r->changes, now) < 1)
         return;
+    refine_groups(lead);
     struct ow_store_request *txn = ow_store_request_new(OW_STORE_TXN, NULL);
     ow_store_expect(txn, OW_KEY_COORDINATOR, lead->token);
     r->serial++;
--- a/src/core/records.h
+++ b/src/core/records.h
@@ -1,9 +1,11 @@
 /* What the state service keeps for us, as plain data.
  *
  *   coordinator      who leads; tethered to a short lease
+ *   format           the newest format of records that every controller reads; absent: 1
  *   types            the machine types last seen
  *   j/<id>           a job: its submission, or how it ended (a tombstone, kept forever)
- *   p/<number>       progress of runs of tasks, several in one value, by "<id>/<chunk>": what is done, which
+ *   p/<number>       progress of runs of tasks, several in one value, by "<id>/<chunk>", or
+ *                    "<id>/<chunk>.<tasks>" where a run has not 256 tasks: what is done, which
  *                    attempts may exist, and where. Of a record found in two values the newer value's counts
  */
 #ifndef OW_CORE_RECORDS_H
@@ -13,9 +15,16 @@
 
 #define OW_KEY_COORDINATOR "coordinator"
 #define OW_KEY_TYPES "types"
+#define OW_KEY_FORMAT "format"
 #define OW_KEY_JOBS "j/"
 #define OW_KEY_PROGRESS "p/"
 
+/* Formats of records and messages. Before every controller is known to read FINE, progress is recorded in
+   runs of 256 tasks; with it in runs as small as values have to be, whose size stands in their name. */
+enum { OW_FORMAT_FIRST = 1, OW_FORMAT_FINE = 2 };
+/* The tasks of a chunk in the first format. */
+enum { OW_CHUNK_TASKS = 256 };
+
 struct ow_job_record {
     enum ow_stance stance;            /* queued stands for every job that is not over */
     double accepted_at;               /* time of day; 0: not told */
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -130,7 +130,8 @@
     *work += ow_run_pending(run) * (gpu ? need->gpus : need->cpus) * run_s;
     double there = capacity(lead, spec, plan, ahead->supplies);
     *waits_out = INFINITY;
-    if (there <= 0)
+    /* A service's replicas free no place for one another, and none of them may wait. */
+    if (there <= 0 || ow_run_is_service(run))
         return false;
     /* Until the first of the places there is free, and then the work ahead. */
     double waits = (*work + run_s * (gpu ? need->gpus : need->cpus)) / there;
--- a/src/core/reports.c
+++ b/src/core/reports.c
@@ -29,7 +29,7 @@
     /* The final record takes the place of the chunks, and is not there yet. */
     if (job->run->finishing)
         return false;
-    const struct ow_chunk *chunk = &job->run->chunks[task / OW_CHUNK_TASKS];
+    const struct ow_chunk *chunk = ow_run_chunk(job->run, task);
     return job->run->tasks[task].done && !chunk->dirty && !chunk->writing;
 }
 
@@ -52,8 +52,9 @@
 {
     if (t->phase == OW_EXITED) {
         /* A result counts even if its attempt was given up for lost. */
-        if (t->cause == OW_CAUSE_DONE && job != NULL && job->run != NULL && t->task < job->run->count &&
-            !ow_job_over(job) && !job->run->tasks[t->task].done && job->run->tasks[t->task].attempt == NULL) {
+        if (t->cause == OW_CAUSE_DONE && job != NULL && job->run != NULL && !ow_run_is_service(job->run) &&
+            t->task < job->run->count && !ow_job_over(job) && !job->run->tasks[t->task].done &&
+            job->run->tasks[t->task].attempt == NULL) {
             job->run->tasks[t->task].done = true;
             job->run->done++;
             ow_recorder_chunk(lead, job->run, t->task, false);
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -97,6 +97,16 @@
            lead->node->now - run->came_at > patience;
 }
 
+void ow_run_divide(struct ow_run *run, uint32_t chunk_tasks)
+{
+    g_free(run->chunks);
+    run->chunk_tasks = chunk_tasks;
+    run->chunk_count = (run->count + chunk_tasks - 1) / chunk_tasks;
+    run->chunks = g_new0(struct ow_chunk, run->chunk_count);
+    for (uint32_t i = 0; i < run->chunk_count; i++)
+        run->chunks[i] = (struct ow_chunk){.job = run->job, .index = i};
+}
+
 struct ow_run *ow_run_get(struct ow_lead *lead, struct ow_job *job)
 {
     if (job->run != NULL)
@@ -107,10 +117,7 @@
     run->count = job->spec->submission->tasks;
     run->tasks = g_new0(struct ow_task, run->count);
     run->attempts = g_ptr_array_new();
-    run->chunk_count = (run->count + OW_CHUNK_TASKS - 1) / OW_CHUNK_TASKS;
-    run->chunks = g_new0(struct ow_chunk, run->chunk_count);
-    for (uint32_t i = 0; i < run->chunk_count; i++)
-        run->chunks[i] = (struct ow_chunk){.job = job, .index = i};
+    ow_run_divide(run, ow_pack_chunk_tasks(lead));
     run->bad_machines = g_hash_table_new(NULL, NULL);
     ow_class_saw_job(lead->node, job->spec);
     job->run = run;
@@ -224,12 +231,17 @@
     g_debug("task %s/%u attempt %" G_GUINT64_FORMAT " on %s is gone: %s", at->job->id, task, at->number,
             m->name, proof);
     bool stopped = at->stop;
-    if (cause == OW_CAUSE_DONE && at->running_at > 0)
+    if (cause == OW_CAUSE_DONE && at->running_at > 0 && !ow_run_is_service(run))
         learn_speed(lead, at);
     detach(lead, at);
     g_free(at);
     lead->dirty = true;
     ow_recorder_chunk(lead, run, task, false);
+    if (cause == OW_CAUSE_DONE && ow_run_is_service(run)) {
+        /* Its machine keeps the result and would end it again: it goes elsewhere. */
+        ow_care_avoid(lead, m, run);
+        return;
+    }
     if (cause == OW_CAUSE_DONE) {
         m->errors = 0;
         m->suspect_until = 0;
@@ -271,6 +283,14 @@
             ow_attempt_stop(lead, g_ptr_array_index(run->attempts, i - 1), grace_s, why);
 }
 
+uint64_t ow_run_next_attempt(const struct ow_run *run)
+{
+    uint64_t number = 0;
+    for (uint32_t c = 0; c < run->chunk_count; c++)
+        number = MAX(number, run->chunks[c].last_attempt + 1);
+    return number;
+}
+
 uint32_t ow_run_pending(const struct ow_run *run)
 {
     if (ow_job_over(run->job))
--- a/src/core/schedule.c
+++ b/src/core/schedule.c
@@ -193,6 +193,9 @@
 static unsigned missed_aims(struct ow_lead *lead, const struct ow_run *run)
 {
     double age = lead->node->now - run->came_at;
+    /* A service's age says nothing of how long its replica has been missed. */
+    if (ow_run_is_service(run))
+        return 0;
     /* Of those that starve, who can still begin in time goes first: where all wait too long, nobody would. */
     if (run->starves)
         return age < BEGIN_S ? 0 : 1;
@@ -240,15 +243,18 @@
 {
     const struct ow_spec *spec = run->job->spec;
     uint32_t wanted = ow_team_admits(lead, spec, ow_run_pending(run));
+    bool service = ow_run_is_service(run);
     if ((spec->submission->rank == OW_RANK_LOW && !ow_run_claims(lead, run)) || spec->submission->one_zone ||
-        spec->submission->spread)
+        (spec->submission->spread && !service))
         return;
     const GPtrArray *machines = ow_shortlist_with_stops(lead, spec->class_index);
     for (guint i = 0; i < machines->len && wanted > 0; i++) {
         struct ow_machine *m = g_ptr_array_index(machines, i);
         if (!ow_place_may(lead, run, m))
             continue;
-        uint32_t slots = MIN(wanted, ow_preempt_slots(lead, spec, m));
+        /* Replicas stand apart: a machine of its own for each, if need be. */
+        uint32_t slots = MIN(service ? MIN(ow_place_zone_admits(run, m->zone), 1) : wanted,
+                             ow_preempt_slots(lead, spec, m));
         if (slots == 0 || !ow_preempt_make_room(lead, run, m, slots))
             continue;
         ow_amounts_add(&m->held, &spec->submission->need, slots);
@@ -315,7 +321,10 @@
             ow_reservation_try(lead, run);
             ow_reservation_book(run);
         } else {
-            ow_place_array(lead, run);
+            if (ow_run_is_service(run))
+                ow_replicas_place(lead, run);
+            else
+                ow_place_array(lead, run);
             if (ow_run_pending(run) > 0)
                 array_makes_room(lead, run);
         }
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -30,6 +30,10 @@
     double report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s;
     double state_rps, state_write_rps, value_kb;
     unsigned txn_ops;
+    /* What the state service will allow from some moment on, without notice; the same where nothing is said.
+     */
+    double next_write_rps, next_value_kb;
+    unsigned next_txn_ops;
     double cloud_rps, list_lag_s;
     double core_share, memory_mb;
     unsigned sockets;
--- a/src/core/takeover.c
+++ b/src/core/takeover.c
@@ -9,6 +9,17 @@
 
 static const double RETRY_S = 0.3;
 
+/* Whether the value could not be written any more once the limits to come are there. */
+static bool is_too_large(const struct ow_lead *lead, const json_t *value)
+{
+    if (lead->node->limits.value_bytes >= lead->node->limits.value_bytes_now)
+        return false;
+    char *text = wj_text(value);
+    bool large = strlen(text) > lead->node->limits.value_bytes;
+    g_free(text);
+    return large;
+}
+
 static void load_live(struct ow_lead *lead, struct ow_run *run, const GArray *live)
 {
     for (guint i = 0; i < live->len; i++) {
@@ -23,29 +34,47 @@
     }
 }
 
-/* A record found in two values: it moved, and the older one was not written again. Attempts of the older one
-   were all recorded by the newer one if they were still there. */
-static bool is_newer(struct ow_lead *lead, struct ow_run *run, struct ow_chunk *chunk, uint64_t version)
+/* A record as it was read. They are taken in once all are there, the oldest value first: a record may be
+   found in two values, or its tasks in chunks of two sizes, when what moved was not tidied up. The newer one
+   counts. */
+struct loaded {
+    struct ow_group *group;
+    uint64_t version;
+    struct ow_job *job;
+    uint32_t index, tasks;
+    json_t *value;
+};
+
+static void loaded_clear(void *item)
 {
-    if (chunk->group == NULL)
-        return true;
-    if (chunk->version >= version)
-        return false;
-    ow_recorder_tidy(lead, ow_pack_leave(chunk));
-    for (guint i = run->attempts->len; i > 0; i--) {
-        struct ow_attempt *at = g_ptr_array_index(run->attempts, i - 1);
-        if (at->task / OW_CHUNK_TASKS == chunk->index)
-            ow_attempt_unload(lead, at);
-    }
-    return true;
+    json_decref(((struct loaded *)item)->value);
+}
+
+void ow_takeover_free(struct ow_lead *lead)
+{
+    g_clear_pointer(&lead->loaded, g_array_unref);
 }
 
-static void load_record(struct ow_lead *lead, struct ow_run *run, struct ow_chunk *chunk, const json_t *value)
+static gint by_version(gconstpointer a, gconstpointer b)
+{
+    const struct loaded *x = a, *y = b;
+    return x->version < y->version ? -1 : x->version > y->version;
+}
+
+static void load_record(struct ow_lead *lead, struct ow_run *run, const struct loaded *l)
 {
     struct ow_progress_record record;
-    if (!wire_progress_record_parse(value, &record))
+    uint32_t first = l->index * l->tasks, end = MIN(run->count, first + l->tasks);
+    if (!wire_progress_record_parse(l->value, &record))
         g_warning("a progress record of job %s cannot be read in full", run->job->id);
-    chunk->last_attempt = MAX(chunk->last_attempt, record.last_attempt);
+    for (guint i = run->attempts->len; i > 0; i--) {
+        struct ow_attempt *at = g_ptr_array_index(run->attempts, i - 1);
+        if (at->task >= first && at->task < end)
+            ow_attempt_unload(lead, at);
+    }
+    for (uint32_t task = first; task < end; task += run->chunk_tasks)
+        ow_run_chunk(run, task)->last_attempt =
+            MAX(ow_run_chunk(run, task)->last_attempt, record.last_attempt);
     for (guint i = 0; i < record.done->len; i++) {
         uint32_t task = g_array_index(record.done, uint32_t, i);
         if (task < run->count && !run->tasks[task].done) {
@@ -57,21 +86,59 @@
     wire_progress_record_clear(&record);
 }
 
+/* Where the record goes on standing: in its group, or, if its run is divided otherwise now, in smaller ones.
+ */
+static void load_place(struct ow_lead *lead, struct ow_run *run, const struct loaded *l)
+{
+    uint32_t first = l->index * l->tasks, end = MIN(run->count, first + l->tasks);
+    if (l->tasks == run->chunk_tasks) {
+        struct ow_chunk *chunk = &run->chunks[l->index];
+        if (chunk->group != NULL)
+            ow_recorder_tidy(lead, ow_pack_leave(chunk));
+        ow_pack_add(l->group, chunk);
+        return;
+    }
+    ow_pack_keep(l->group, run->job, first, end);
+    ow_recorder_tidy(lead, l->group);
+    for (uint32_t task = first; task < end; task += run->chunk_tasks)
+        ow_recorder_chunk(lead, run, task, true);
+}
+
+static void take_loaded(struct ow_lead *lead)
+{
+    g_array_sort(lead->loaded, by_version);
+    /* A run keeps the smallest chunks that it was recorded in. */
+    for (guint i = 0; i < lead->loaded->len; i++) {
+        const struct loaded *l = &g_array_index(lead->loaded, struct loaded, i);
+        bool fresh = l->job->run == NULL;
+        struct ow_run *run = ow_run_get(lead, l->job);
+        if (fresh || l->tasks < run->chunk_tasks)
+            ow_run_divide(run, l->tasks);
+    }
+    for (guint i = 0; i < lead->loaded->len; i++) {
+        const struct loaded *l = &g_array_index(lead->loaded, struct loaded, i);
+        struct ow_run *run = l->job->run;
+        if ((uint64_t)l->index * l->tasks >= run->count) {
+            ow_recorder_tidy(lead, l->group);
+            continue;
+        }
+        load_record(lead, run, l);
+        load_place(lead, run, l);
+    }
+    ow_takeover_free(lead);
+}
+
 /* False when the record is of no use any more: what a final record has left behind. */
-static bool load_named(struct ow_lead *lead, struct ow_group *g, const char *name, const json_t *value)
+static bool keep_named(struct ow_lead *lead, struct ow_group *g, const char *name, json_t *value)
 {
-    uint32_t index = 0;
-    char *id = wire_progress_name_parse(name, &index);
-    struct ow_job *job = id != NULL ? ow_jobs_find(lead->node->jobs, id) : NULL;
+    struct loaded l = {.group = g, .version = g->version};
+    char *id = wire_progress_name_parse(name, &l.index, &l.tasks);
+    l.job = id != NULL ? ow_jobs_find(lead->node->jobs, id) : NULL;
     g_free(id);
-    if (job == NULL || job->spec == NULL)
-        return false;
-    struct ow_run *run = ow_run_get(lead, job);
-    if (index >= run->chunk_count || !is_newer(lead, run, &run->chunks[index], g->version))
+    if (l.job == NULL || l.job->spec == NULL)
         return false;
-    run->chunks[index].version = g->version;
-    ow_pack_add(g, &run->chunks[index]);
-    load_record(lead, run, &run->chunks[index], value);
+    l.value = json_incref(value);
+    g_array_append_val(lead->loaded, l);
     return true;
 }
 
@@ -87,9 +154,9 @@
     g->version = item->version;
     json_object_foreach(item->value, name, value)
     {
-        tidy = load_named(lead, g, name, value) && tidy;
+        tidy = keep_named(lead, g, name, value) && tidy;
     }
-    if (!tidy)
+    if (!tidy || is_too_large(lead, item->value))
         ow_recorder_tidy(lead, g);
 }
 
@@ -107,6 +174,7 @@
 
 static void become_ready(struct ow_lead *lead)
 {
+    take_loaded(lead);
     lead->phase = OW_LEAD_READY;
     lead->ready_at = lead->node->now;
     lead->dirty = true;
@@ -146,9 +214,11 @@
     if (lead == NULL || lead->token != *token)
         return;
     lead->load_busy = false;
-    if (ok)
+    if (ok) {
         lead->phase = OW_LEAD_LOADING;
-    else
+        lead->loaded = g_array_new(FALSE, FALSE, sizeof(struct loaded));
+        g_array_set_clear_func(lead->loaded, loaded_clear);
+    } else
         lead->load_at = node->now + RETRY_S;
 }
 
@@ -164,6 +234,11 @@
         ow_replica_refresh(lead->node->replica, on_jobs_fresh, token);
         return;
     }
+    if (lead->format == 0) {
+        /* How runs are divided depends on it. */
+        lead->load_busy = false;
+        return;
+    }
     struct ow_store_request *request = ow_store_request_new(OW_STORE_LIST, OW_KEY_PROGRESS);
     request->after = g_strdup(lead->load_after);
     ow_node_store(lead->node, request, on_page, lead, NULL, NULL);
--- a/src/wire/peer.x
+++ b/src/wire/peer.x
@@ -63,7 +63,7 @@
     unsigned hyper token;     /* of the coordinator that says so */
 };
 
-const PEER_VERSION = 1;
+const PEER_VERSION = 2;
 
 enum peer_kind {
     PEER_HELLO = 1,
--- a/src/wire/records_json.c
+++ b/src/wire/records_json.c
@@ -16,6 +16,7 @@
 #define F_LAST "a"
 #define F_DONE "d"
 #define F_LIVE "l"
+#define F_FORMAT "v"
 #define F_NODE "node"
 #define F_NONCE "nonce"
 
@@ -204,10 +205,14 @@
     g_array_free(record->live, TRUE);
 }
 
-void wire_progress_group_add(GString *text, const char *job, uint32_t chunk, const char *record)
+void wire_progress_group_add(GString *text, const char *job, uint32_t chunk, uint32_t tasks,
+                             const char *record)
 {
     /* Ids of jobs need no escaping: they are checked at the door. */
-    g_string_append_printf(text, "%c\"%s/%u\":%s", text->len == 0 ? '{' : ',', job, chunk, record);
+    g_string_append_printf(text, "%c\"%s/%u", text->len == 0 ? '{' : ',', job, chunk);
+    if (tasks != OW_CHUNK_TASKS)
+        g_string_append_printf(text, ".%u", tasks);
+    g_string_append_printf(text, "\":%s", record);
 }
 
 void wire_progress_group_end(GString *text)
@@ -215,14 +220,31 @@
     g_string_append(text, text->len == 0 ? "{}" : "}");
 }
 
-char *wire_progress_name_parse(const char *name, uint32_t *chunk)
+char *wire_progress_name_parse(const char *name, uint32_t *chunk, uint32_t *tasks)
 {
     const char *slash = strrchr(name, '/');
-    guint64 index = 0;
-    if (slash == NULL || !g_ascii_string_to_unsigned(slash + 1, 10, 0, OW_MAX_TASKS, &index, NULL))
+    guint64 index = 0, size = OW_CHUNK_TASKS;
+    if (slash == NULL)
         return NULL;
+    char **parts = g_strsplit(slash + 1, ".", 2);
+    bool ok = parts[0] != NULL && g_ascii_string_to_unsigned(parts[0], 10, 0, OW_MAX_TASKS, &index, NULL) &&
+              (parts[1] == NULL || g_ascii_string_to_unsigned(parts[1], 10, 1, OW_MAX_TASKS, &size, NULL));
+    g_strfreev(parts);
     *chunk = (uint32_t)index;
-    return g_strndup(name, (gsize)(slash - name));
+    *tasks = (uint32_t)size;
+    return ok ? g_strndup(name, (gsize)(slash - name)) : NULL;
+}
+
+char *wire_format_record(unsigned format)
+{
+    return take_text(json_pack("{s:I}", F_FORMAT, (json_int_t)format));
+}
+
+unsigned wire_format_record_parse(const json_t *value)
+{
+    uint64_t format = OW_FORMAT_FIRST;
+    wj_count(value, F_FORMAT, &format);
+    return (unsigned)format;
 }
 
 char *wire_coordinator_record(const char *node, const char *nonce)
--- a/tests/test_chaos.c
+++ b/tests/test_chaos.c
@@ -259,7 +259,7 @@
     w->capacity = 40;
     /* Every other time records have to be spread over many values. */
     for (int i = 0; i < WORLD_NODES && seed % 2 == 0; i++)
-        w->settings[i].value_kb = 0.5;
+        w->settings[i].value_kb = w->value_kb = 0.5;
     for (int i = 0; i < WORLD_NODES; i++)
         world_start_node(w, i);
     for (int i = 0; i < MACHINES; i++) {
@@ -290,7 +290,7 @@
         if (stance != OW_DONE && !(stance == OW_CANCELLED && t.withdrawn[i]))
             fail_msg("seed %u: %s ends as %d", seed, id, stance);
     }
-    if (w->broken->len > 0)
+    if (w->broken->len > 0 || w->too_large > 0)
         fail_msg("seed %u: %s", seed, w->broken->str);
     g_ptr_array_free(t.copies, TRUE);
     g_rand_free(t.rand);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -18,8 +18,8 @@
         s->cancel_s = 46.5;
         s->state_rps = 400;
         s->state_write_rps = 150;
-        s->value_kb = 16;
-        s->txn_ops = 48;
+        s->value_kb = w->value_kb = 16;
+        s->txn_ops = w->txn_ops = 48;
         s->cloud_rps = 7;
     }
 }
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -341,6 +341,11 @@
         w->settings[i].value_kb = 0.6;
         w->settings[i].txn_ops = 1; /* so that a value and the one it overflows to are written one by one */
     }
+    w->value_kb = 0.6;
+    w->txn_ops = 1;
+    world_kill_node(w, 0); /* settings are read at the start */
+    world_start_node(w, 0);
+    world_run(w, 6);
     w->run_s = 20;
     for (int i = 0; i < 8; i++) {
         g_snprintf(id, sizeof id, "run-%d", i);
--- /dev/null
+++ b/tests/test_upgrade.c
@@ -0,0 +1,378 @@
+/* Two versions side by side, and limits of the state service that fall. What production writes is read from
+ * files that its own code made (fixtures/production). */
+#include "check.h"
+#include "world.h"
+
+#include "core/records.h"
+#include "wire/json.h"
+#include "wire/peer_xdr.h"
+#include "wire/records_json.h"
+
+#include <string.h>
+
+static char *fixture(const char *name)
+{
+    char *path = g_strconcat("tests/fixtures/production/", name, NULL), *text = NULL;
+    if (!g_file_get_contents(path, &text, NULL, NULL))
+        fail_msg("cannot read %s", path);
+    g_free(path);
+    return text;
+}
+
+static json_t *fixture_json(const char *name)
+{
+    char *text = fixture(name);
+    json_t *value = json_loads(text, 0, NULL);
+    g_free(text);
+    assert_non_null(value);
+    return value;
+}
+
+/* ---- production's records and messages ---- */
+
+static void test_records_of_production_are_read(void **state)
+{
+    (void)state;
+    struct ow_job_record record;
+    json_t *value = fixture_json("job-queued.json");
+    assert_true(wire_job_record_parse(value, &record));
+    assert_true(record.stance == OW_QUEUED && record.accepted_at == 1700001000 &&
+                record.submission->tasks == 300);
+    ow_submission_free(record.submission);
+    json_decref(value);
+    value = fixture_json("job-cancelled.json");
+    assert_true(wire_job_record_parse(value, &record));
+    assert_true(record.stance == OW_CANCELLED && record.coordinator == 42 && record.submission->gang);
+    ow_submission_free(record.submission);
+    json_decref(value);
+    value = fixture_json("job-ended.json");
+    assert_true(wire_job_record_parse(value, &record));
+    assert_true(record.stance == OW_CANCELLED && record.submission == NULL);
+    json_decref(value);
+    value = fixture_json("job-done.json");
+    assert_true(wire_job_record_parse(value, &record));
+    assert_true(record.stance == OW_DONE && record.submission == NULL);
+    json_decref(value);
+    const char *node = NULL, *nonce = NULL;
+    value = fixture_json("coordinator.json");
+    wire_coordinator_record_parse(value, &node, &nonce);
+    assert_string_equal(node, "node-0");
+    assert_string_equal(nonce, "0123456789abcdef");
+    json_decref(value);
+}
+
+static struct ow_peer_message *fixture_message(const char *name)
+{
+    char *text = fixture(name);
+    GByteArray *bytes = g_byte_array_new();
+    for (const char *p = text; *p != '\0'; p++) {
+        if (!g_ascii_isxdigit(p[0]))
+            continue;
+        guint8 byte = (guint8)(g_ascii_xdigit_value(p[0]) * 16 + g_ascii_xdigit_value(p[1]));
+        g_byte_array_append(bytes, &byte, 1);
+        p++;
+    }
+    struct ow_peer_message *m = NULL;
+    assert_true(wire_peer_decode((const char *)bytes->data + 4, bytes->len - 4, &m));
+    assert_non_null(m);
+    assert_int_equal(m->version, OW_FORMAT_FIRST);
+    g_byte_array_free(bytes, TRUE);
+    g_free(text);
+    return m;
+}
+
+static void test_messages_of_production_are_read(void **state)
+{
+    (void)state;
+    struct ow_peer_message *m = fixture_message("peer-hello.hex");
+    assert_true(m->kind == OW_PEER_HELLO && m->number == 77 && m->leads && m->state_ok && !m->hears_workers);
+    assert_string_equal(m->node, "node-1");
+    ow_peer_message_free(m);
+    m = fixture_message("peer-summary.hex");
+    assert_true(m->kind == OW_PEER_SUMMARY && m->jobs->len == 1);
+    assert_string_equal(g_array_index(m->jobs, struct ow_peer_job, 0).reason, "because");
+    ow_peer_message_free(m);
+    m = fixture_message("peer-nudge.hex");
+    assert_true(m->kind == OW_PEER_NUDGE && m->number == 77);
+    ow_peer_message_free(m);
+    m = fixture_message("peer-machines.hex");
+    assert_true(m->kind == OW_PEER_MACHINES && m->machines->len == 1);
+    assert_string_equal(g_array_index(m->machines, struct ow_peer_machine, 0).addr, "m-0:9000");
+    ow_peer_message_free(m);
+    m = fixture_message("peer-cancellation.hex");
+    assert_true(m->kind == OW_PEER_CANCELLATION && m->number == 77 && m->revision == 99);
+    assert_string_equal(m->job, "run-2");
+    ow_peer_message_free(m);
+    m = fixture_message("peer-taken.hex");
+    assert_true(m->kind == OW_PEER_TAKEN && m->number == 77 && m->revision == 99);
+    ow_peer_message_free(m);
+}
+
+/* What is written while an old controller may be alive is, to the letter, what production writes. */
+static void test_records_are_written_as_production_does(void **state)
+{
+    (void)state;
+    char *text = fixture("progress.json");
+    json_t *group = fixture_json("progress.json");
+    GString *again = g_string_new(NULL);
+    const char *name;
+    json_t *value;
+    json_object_foreach(group, name, value)
+    {
+        struct ow_progress_record record;
+        uint32_t chunk = 0, tasks = 0;
+        char *job = wire_progress_name_parse(name, &chunk, &tasks);
+        assert_int_equal(tasks, OW_CHUNK_TASKS);
+        assert_true(wire_progress_record_parse(value, &record));
+        char *record_text = wire_progress_record(&record);
+        wire_progress_group_add(again, job, chunk, tasks, record_text);
+        wire_progress_record_clear(&record);
+        g_free(record_text);
+        g_free(job);
+    }
+    wire_progress_group_end(again);
+    g_strchomp(text);
+    assert_string_equal(again->str, text);
+    g_string_free(again, TRUE);
+    json_decref(group);
+    g_free(text);
+    struct ow_job_record record;
+    const char *const jobs[] = {"job-queued.json", "job-cancelled.json", "job-ended.json", "job-done.json"};
+    for (int i = 0; i < 4; i++) {
+        value = fixture_json(jobs[i]);
+        assert_true(wire_job_record_parse(value, &record));
+        char *ours = wire_job_record(&record), *theirs = g_strchomp(fixture(jobs[i]));
+        assert_string_equal(ours, theirs);
+        ow_submission_free(record.submission);
+        json_decref(value);
+        g_free(ours);
+        g_free(theirs);
+    }
+}
+
+/* ---- side by side ---- */
+
+static void all_old(struct world *w, bool old)
+{
+    for (int i = 0; i < WORLD_NODES; i++)
+        w->old_node[i] = old;
+}
+
+/* Limits to come are known to the new version alone. */
+static void announce(struct world *w, double value_kb, unsigned txn_ops)
+{
+    for (int i = 0; i < WORLD_NODES; i++) {
+        w->settings[i].next_value_kb = w->old_node[i] ? w->settings[i].value_kb : value_kb;
+        w->settings[i].next_txn_ops = w->old_node[i] ? w->settings[i].txn_ops : txn_ops;
+    }
+}
+
+static void upgrade(struct world *w, int node, double away_s)
+{
+    if (w->cores[node] != NULL)
+        world_kill_node(w, node);
+    world_run(w, away_s);
+    w->old_node[node] = false;
+    announce(w, 0.6, 4);
+    world_start_node(w, node);
+}
+
+static struct world *old_world(int machines)
+{
+    struct world *w = world_new();
+    all_old(w, true);
+    for (int i = 0; i < WORLD_NODES; i++)
+        world_start_node(w, i);
+    world_add_machines(w, machines);
+    world_run(w, 6);
+    return w;
+}
+
+/* A spread array: each of its tasks on another machine than the next, so that its ranges don't join. */
+static void submit_spread(struct world *w, const char *id, uint32_t tasks)
+{
+    world_submit(w, 0, world_job(id, tasks, 0.4));
+    world_run(w, 6);
+    assert_int_equal(world_running(w, id), tasks);
+    for (guint i = 0; i < w->machines->len; i++) {
+        struct world_machine *m = g_ptr_array_index(w->machines, i);
+        for (guint k = 0; k < m->tasks->len; k += 2)
+            g_array_index(m->tasks, struct world_task, k).phase_at = w->now + 1;
+    }
+    world_run(w, 4);
+}
+
+static unsigned starts_of(struct world *w)
+{
+    unsigned starts = 0;
+    for (guint i = 0; i < w->machines->len; i++)
+        starts += ((struct world_machine *)g_ptr_array_index(w->machines, i))->starts;
+    return starts;
+}
+
+/* The whole way: three controllers, one after the other, then smaller values at a moment nobody announces.
+   What runs runs on, and is not started twice; what ends is recorded in values that fit. */
+static void roll(double away_s, int crash)
+{
+    struct world *w = old_world(6);
+    w->run_s = 60;
+    submit_spread(w, "run-1", 200);
+    for (int i = 0; i < WORLD_NODES; i++) {
+        upgrade(w, i, away_s);
+        world_run(w, 4);
+        if (crash == i) {
+            /* One that has not had its turn comes back old, and may lead. */
+            int node = (i + 1) % WORLD_NODES;
+            world_kill_node(w, node);
+            world_run(w, 1);
+            world_start_node(w, node);
+            world_run(w, 5);
+        }
+    }
+    world_run(w, 12);
+    assert_string_equal(world_value_text(w, OW_KEY_FORMAT), "{\"v\":2}");
+    w->value_kb = 0.6;
+    w->txn_ops = 4;
+    world_run(w, 4);
+    assert_int_equal(world_running(w, "run-1"), 100);
+    uint64_t more = world_submit(w, 1, world_job("run-2", 150, 0.4)), cancel = 0;
+    world_run(w, 6);
+    assert_int_equal(world_answer(w, more)->status, 201);
+    cancel = world_withdraw(w, 2, "run-2");
+    world_run(w, 3);
+    assert_int_equal(world_answer(w, cancel)->stance, OW_CANCELLED);
+    assert_true(world_until(w, 90, world_all_done, "run-1"));
+    assert_true(starts_of(w) >= 200 && starts_of(w) <= 350);
+    world_finish(w);
+}
+
+static void test_a_roll(void **state)
+{
+    (void)state;
+    for (int crash = -1; crash < 2; crash++) {
+        roll(0.3, crash);
+        roll(5, crash);
+    }
+}
+
+/* Records in larger chunks than fit are divided in steps: whenever the coordinator ends, none is lost. */
+static void test_dividing_records_is_interrupted(void **state)
+{
+    (void)state;
+    for (int step = 0; step < 30; step++) {
+        struct world *w = old_world(6);
+        w->run_s = 60;
+        submit_spread(w, "run-1", 200);
+        for (int i = 0; i < WORLD_NODES; i++)
+            upgrade(w, i, 0.3);
+        world_run(w, 6 + 0.1 * step);
+        int leader = world_leader(w);
+        if (leader >= 0) {
+            world_kill_node(w, leader);
+            world_run(w, 0.3);
+            world_start_node(w, leader);
+        }
+        world_run(w, 14);
+        w->value_kb = 0.6;
+        w->txn_ops = 4;
+        assert_int_equal(world_running(w, "run-1"), 100);
+        assert_true(world_until(w, 90, world_all_done, "run-1"));
+        assert_int_equal(starts_of(w), 200);
+        world_finish(w);
+    }
+}
+
+/* While one controller is of the first format nothing is written that it would drop, whoever leads. */
+static void test_no_mark_beside_an_old_controller(void **state)
+{
+    (void)state;
+    struct world *w = old_world(4);
+    w->run_s = 20;
+    upgrade(w, 0, 0.3);
+    upgrade(w, 1, 0.3);
+    world_run(w, 10);
+    world_submit(w, 0, world_job("run-1", 100, 0.4));
+    world_run(w, 8);
+    assert_null(world_value_text(w, OW_KEY_FORMAT));
+    /* Nor when it is away: it would come back old. */
+    world_kill_node(w, 2);
+    world_run(w, 20);
+    assert_null(world_value_text(w, OW_KEY_FORMAT));
+    world_start_node(w, 2);
+    assert_true(world_until(w, 60, world_all_done, "run-1"));
+    world_finish(w);
+}
+
+/* Cancellations confirmed while the versions are mixed hold, whichever leads. */
+static void test_cancellations_across_versions(void **state)
+{
+    (void)state;
+    for (int first = 0; first < WORLD_NODES; first++) {
+        struct world *w = old_world(3);
+        w->run_s = 300;
+        world_submit(w, 0, world_job("run-1", 6, 1));
+        world_run(w, 6);
+        upgrade(w, first, 0.3);
+        world_run(w, 10);
+        w->denied_node = world_leader(w);
+        uint64_t cancel = world_withdraw(w, (world_leader(w) + 1) % WORLD_NODES, "run-1");
+        world_run(w, 1);
+        assert_int_equal(world_answer(w, cancel)->stance, OW_CANCELLED);
+        w->state_down = true;
+        world_run(w, 60);
+        assert_int_equal(world_running(w, "run-1"), 0);
+        world_finish(w);
+    }
+}
+
+/* ---- limits that nobody has announced ---- */
+
+static void test_limits_that_fall_unannounced(void **state)
+{
+    (void)state;
+    struct world *w = world_with_machines(6);
+    w->run_s = 20;
+    submit_spread(w, "run-1", 200);
+    w->value_kb = 0.8;
+    w->txn_ops = 3;
+    world_submit(w, 1, world_job("run-2", 40, 0.4));
+    assert_true(world_until(w, 90, world_all_done, "run-1"));
+    assert_true(world_until(w, 60, world_all_done, "run-2"));
+    /* Each refusal halves what is tried next; the same is never tried for ever. */
+    assert_true(w->too_large > 0 && w->too_large < 20);
+    assert_string_equal(w->broken->str, "");
+    world_free(w);
+}
+
+static void test_a_submission_that_fits_no_value(void **state)
+{
+    (void)state;
+    struct world *w = world_with_machines(1);
+    struct ow_submission *s = world_job("run-1", 1, 1);
+    GPtrArray *types = g_ptr_array_new();
+    for (int i = 0; i < 200; i++)
+        g_ptr_array_add(types, g_strdup_printf("a-type-with-a-rather-long-name-and-a-number-%d", i));
+    g_ptr_array_add(types, g_strdup("big"));
+    g_ptr_array_add(types, NULL);
+    s->types = (char **)g_ptr_array_free(types, FALSE);
+    uint64_t asked = world_submit(w, 0, s);
+    world_run(w, 1);
+    assert_int_equal(world_answer(w, asked)->status, 422);
+    world_finish(w);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_records_of_production_are_read),
+        cmocka_unit_test(test_messages_of_production_are_read),
+        cmocka_unit_test(test_records_are_written_as_production_does),
+        cmocka_unit_test(test_a_roll),
+        cmocka_unit_test(test_dividing_records_is_interrupted),
+        cmocka_unit_test(test_no_mark_beside_an_old_controller),
+        cmocka_unit_test(test_cancellations_across_versions),
+        cmocka_unit_test(test_limits_that_fall_unannounced),
+        cmocka_unit_test(test_a_submission_that_fits_no_value),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -190,7 +190,7 @@
         m = through_xdr(m);
         assert_non_null(m);
         assert_int_equal(m->kind, kind);
-        assert_int_equal(m->version, 1);
+        assert_int_equal(m->version, 2);
         assert_string_equal(m->job, "run-000412");
         assert_true(m->revision == UINT64_C(1) << 41 && m->number == 77);
         ow_peer_message_free(m);
--- a/tests/world.c
+++ b/tests/world.c
@@ -59,6 +59,8 @@
     s->state_write_rps = 100;
     s->value_kb = 8;
     s->txn_ops = 8;
+    s->next_write_rps = s->next_value_kb = 1e6; /* nothing is to come */
+    s->next_txn_ops = 1000;
     s->cloud_rps = 5;
     s->list_lag_s = 5;
     s->core_share = 1;
@@ -82,6 +84,8 @@
     w->broken = g_string_new(NULL);
     for (int i = 0; i < WORLD_NODES; i++)
         init_settings(&w->settings[i], i);
+    w->value_kb = w->settings[0].value_kb;
+    w->txn_ops = w->settings[0].txn_ops;
     return w;
 }
 
@@ -201,7 +205,8 @@
                                 .cpus = submission->need.cpus,
                                 .one_zone = submission->one_zone,
                                 .spread = submission->spread,
-                                .spot = submission->spot};
+                                .spot = submission->spot,
+                                .service = submission->kind == OW_KIND_SERVICE};
     g_strlcpy(wish->team, submission->team, sizeof wish->team);
     g_strlcpy(wish->zone, submission->zone != NULL ? submission->zone : "", sizeof wish->zone);
     if (!g_hash_table_contains(w->wishes, submission->id))
@@ -268,6 +273,16 @@
     return s;
 }
 
+struct ow_submission *world_service(const char *id, uint32_t replicas, double cpus)
+{
+    struct ow_submission *s = world_job(id, replicas, cpus);
+    s->kind = OW_KIND_SERVICE;
+    s->rank = OW_RANK_CRITICAL;
+    s->estimate_s = 0;
+    s->spot = false;
+    return s;
+}
+
 struct ow_submission *world_gang(const char *id, uint32_t tasks, double cpus)
 {
     struct ow_submission *s = world_job(id, tasks, cpus);
@@ -289,6 +304,8 @@
         struct ow_command *c = world_command(OW_COMMAND_PEER, 0);
         assert_true(wire_peer_decode(frame->str + 4, frame->len - 4, &c->peer));
         assert_non_null(c->peer);
+        if (w->old_node[i] || w->old_node[from])
+            c->peer->version = OW_FORMAT_FIRST;
         world_deliver(w, i, w->node_nonce[i], 0.01, c);
     }
     g_string_free(frame, TRUE);
@@ -459,6 +476,7 @@
 void world_finish(struct world *w)
 {
     assert_string_equal(w->broken->str, "");
+    assert_int_equal(w->too_large, 0);
     world_free(w);
 }
 
--- a/tests/world.h
+++ b/tests/world.h
@@ -41,7 +41,7 @@
     char team[16], zone[16];
     uint32_t tasks;
     double cpus;
-    bool one_zone, spread, spot;
+    bool one_zone, spread, spot, service;
 };
 
 struct world_told {
@@ -76,6 +76,11 @@
     bool keep_held;     /* what is held stays held */
     unsigned hold_next; /* so many of the next transactions of `hold_node` are held */
     int hold_node;
+    bool old_node[WORLD_NODES]; /* of the first format: its messages say so, and it takes others' for no newer
+                                 */
+    double value_kb;            /* what the state service takes now */
+    unsigned txn_ops;
+    unsigned too_large; /* writes that it has refused for that */
     int denied_node;    /* the state service answers it 503; -1: none */
     int isolated_node;  /* neither the state service nor other controllers are in its reach; -1: none */
     int lonely_node;    /* no worker is in its reach, nor it in theirs; -1: none */
@@ -140,6 +145,7 @@
 int world_stance(struct world *w, const char *id);
 
 struct ow_submission *world_job(const char *id, uint32_t tasks, double cpus);
+struct ow_submission *world_service(const char *id, uint32_t replicas, double cpus);
 struct ow_submission *world_gang(const char *id, uint32_t tasks, double cpus);
 
 /* The machine that runs the job, or NULL. */
--- a/tests/world_state.c
+++ b/tests/world_state.c
@@ -151,12 +151,31 @@
     g_hash_table_replace(w->keys, g_strdup(change->key), v);
 }
 
+/* What a controller of the first format would drop when it rewrites the value: names of records in finer
+ * chunks. */
+static void check_format(struct world *w, const struct ow_change *c)
+{
+    bool old = false;
+    for (int i = 0; i < WORLD_NODES; i++)
+        old = old || w->old_node[i];
+    if (!old || c->value == NULL || !g_str_has_prefix(c->key, OW_KEY_PROGRESS))
+        return;
+    json_t *group = json_loads(c->value, 0, NULL);
+    const char *name;
+    json_t *record;
+    json_object_foreach(group, name, record)
+    {
+        if (strchr(name, '.') != NULL)
+            g_string_append_printf(w->broken, "%s is written beside an old controller; ", name);
+    }
+    json_decref(group);
+}
+
 /* The status of the transaction, carried out if it is 200. */
 static int apply_txn(struct world *w, const struct ow_store_request *r, char ***failed)
 {
     GPtrArray *bad = g_ptr_array_new();
-    if (r->changes->len > w->settings[0].txn_ops || r->conditions->len > 4 * w->settings[0].txn_ops)
-        g_string_append(w->broken, "a transaction is too large; ");
+    bool large = r->changes->len > w->txn_ops || r->conditions->len > 4 * w->txn_ops;
     for (guint i = 0; i < r->conditions->len; i++) {
         const struct ow_condition *c = &g_array_index(r->conditions, struct ow_condition, i);
         if (version_of(w, c->key) != c->version)
@@ -164,12 +183,15 @@
     }
     for (guint i = 0; i < r->changes->len; i++) {
         const struct ow_change *c = &g_array_index(r->changes, struct ow_change, i);
-        if (c->value != NULL && strlen(c->value) > 1024 * w->settings[0].value_kb)
-            g_string_append(w->broken, "a value is too large; ");
+        large = large || (c->value != NULL && strlen(c->value) > 1024 * w->value_kb);
+        check_format(w, c);
     }
+    w->too_large += large ? 1 : 0;
     bool ok = bad->len == 0;
     g_ptr_array_add(bad, NULL);
     *failed = (char **)g_ptr_array_free(bad, FALSE);
+    if (large)
+        return 400;
     for (guint i = 0; ok && i < r->changes->len; i++)
         if (!lease_alive(w, g_array_index(r->changes, struct ow_change, i).lease))
             return 400;
--- a/tests/world_workers.c
+++ b/tests/world_workers.c
@@ -1,6 +1,7 @@
 /* The fake world's machines and their workers, who know every rule. */
 #include "world_parts.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -332,7 +333,8 @@
     if (t->phase == OW_FETCHING) {
         check_over(w, t->job);
         t->phase = OW_RUNNING;
-        t->phase_at = w->now + w->run_s;
+        const struct world_wish *wish = wish_of(w, t->job);
+        t->phase_at = wish != NULL && wish->service ? INFINITY : w->now + w->run_s;
     } else {
         t->phase = OW_EXITED;
         t->cause = m->sick ? OW_CAUSE_ERROR : OW_CAUSE_DONE;
