--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -305,6 +305,40 @@
     }
 }
 
+static size_t largest_progress(struct world *w)
+{
+    size_t largest = 0;
+    for (int i = 0; i < 200; i++) {
+        char *key = g_strdup_printf("%s%d", OW_KEY_PROGRESS, i);
+        const char *text = world_value_text(w, key);
+        largest = MAX(largest, text != NULL ? strlen(text) : 0);
+        g_free(key);
+    }
+    return largest;
+}
+
+/* What is stored larger than will be allowed is divided by whoever takes over, even if nothing of it changes.
+ */
+static void test_large_values_are_written_anew(void **state)
+{
+    (void)state;
+    struct world *w = old_world(6);
+    w->run_s = 200;
+    submit_spread(w, "run-1", 200);
+    assert_true(largest_progress(w) > 614);
+    for (int i = 0; i < WORLD_NODES; i++)
+        upgrade(w, i, 0.3);
+    assert_true(world_until(w, 20, marked, NULL));
+    int leader = world_leader(w);
+    world_kill_node(w, leader);
+    world_run(w, 6);
+    world_start_node(w, leader);
+    world_run(w, 20);
+    assert_true(largest_progress(w) <= 614);
+    assert_int_equal(world_running(w, "run-1"), 100);
+    world_finish(w);
+}
+
 /* While one controller is of the first format nothing is written that it would drop, whoever leads. */
 static void test_no_mark_beside_an_old_controller(void **state)
 {
@@ -393,6 +427,7 @@
         cmocka_unit_test(test_records_are_written_as_production_does),
         cmocka_unit_test(test_a_roll),
         cmocka_unit_test(test_dividing_records_is_interrupted),
+        cmocka_unit_test(test_large_values_are_written_anew),
         cmocka_unit_test(test_no_mark_beside_an_old_controller),
         cmocka_unit_test(test_cancellations_across_versions),
         cmocka_unit_test(test_limits_that_fall_unannounced),
