--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -213,8 +213,7 @@
     world_submit(w, 0, world_job("run-1", 16, 1)); /* team open, 12 CPUs beyond its guarantee */
     assert_true(world_until(w, 10, world_some_running, "run-1"));
     struct ow_submission *s = world_job("run-2", 8, 1);
-    g_free(s->team);
-    s->team = g_strdup("tight");
+    world_set_team(s, "tight");
     world_submit(w, 0, s);
     assert_true(world_until(w, 60, world_some_running, "run-2"));
     world_run(w, 5);
@@ -255,8 +254,7 @@
     world_run(w, 6);
     w->run_s = 50;
     struct ow_submission *s = world_job("run-1", 12, 1);
-    g_free(s->team);
-    s->team = g_strdup("tight");
+    world_set_team(s, "tight");
     world_submit(w, 0, s);
     assert_true(world_until(w, 10, world_some_running, "run-1"));
     world_run(w, 5);
--- a/tests/test_isolation.c
+++ b/tests/test_isolation.c
@@ -12,18 +12,6 @@
     return w;
 }
 
-static bool runs_on_another(struct world *w, const void *machine)
-{
-    const struct world_machine *m = world_where(w, "run-1");
-    return m != NULL && m != machine;
-}
-
-static bool is_gone(struct world *w, const void *machine)
-{
-    (void)w;
-    return ((const struct world_machine *)machine)->gone;
-}
-
 static struct world_machine *start_long_job(struct world *w)
 {
     w->run_s = 100;
@@ -44,7 +32,7 @@
     /* A gang that needs a machine whole may pick it before anything shows: it must not wait for it. */
     w->run_s = 2;
     world_submit(w, 0, world_gang("run-2", 2, 16));
-    assert_true(world_until(w, 40, is_gone, deaf));
+    assert_true(world_until(w, 40, world_is_gone, deaf));
     assert_true(world_until(w, 40, world_all_done, "run-2"));
     assert_true(world_until(w, 40, world_all_done, "run-1"));
     world_finish(w);
@@ -75,8 +63,8 @@
     deaf->deaf = true;
     world_kill_node(w, world_leader(w));
     /* Its reports, under a token that is not ours, keep coming: they are no sign of health. */
-    assert_true(world_until(w, 60, runs_on_another, deaf));
-    assert_true(world_until(w, 90, is_gone, deaf));
+    assert_true(world_until(w, 60, world_runs_on_another, deaf));
+    assert_true(world_until(w, 90, world_is_gone, deaf));
     world_finish(w);
 }
 
@@ -111,7 +99,7 @@
         world_send_copy(w, world_leader(w), copies[i]);
         world_run(w, 1);
     }
-    assert_true(runs_on_another(w, m));
+    assert_true(world_runs_on_another(w, m));
     m->cut = false;
     world_run(w, 20);
     world_finish(w);
@@ -134,7 +122,7 @@
     /* It names no task, and it is the first that this coordinator hears of the machine. */
     world_send_copy(w, world_leader(w), copy);
     world_run(w, 15);
-    assert_false(runs_on_another(w, m));
+    assert_false(world_runs_on_another(w, m));
     m->cut = false;
     world_run(w, 10);
     assert_true(world_where(w, "run-1") == m);
@@ -270,7 +258,7 @@
     world_reboot(w, m);
     assert_true(world_until(w, 60, world_all_done, "run-1"));
     world_send_copy(w, world_leader(w), copy);
-    assert_true(world_until(w, 60, is_gone, m));
+    assert_true(world_until(w, 60, world_is_gone, m));
     world_finish(w);
 }
 
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -30,12 +30,6 @@
     return world_where(w, id);
 }
 
-static int status_of(struct world *w, uint64_t request)
-{
-    const struct world_answer *a = world_answer(w, request);
-    return a != NULL ? a->status : 0;
-}
-
 /* A user who asks every second until the cancellation is confirmed. */
 struct canceller {
     const char *id;
@@ -48,7 +42,7 @@
 {
     if (c->told_at > 0)
         return;
-    if (c->request != 0 && status_of(w, c->request) == 200)
+    if (c->request != 0 && world_status(w, c->request) == 200)
         c->told_at = w->now;
     else if (w->now >= c->asked_at + 1) {
         c->asked_at = w->now;
@@ -93,12 +87,13 @@
     run_cancelling(w, &c, 1.2);
     w->state_down = true;
     run_cancelling(w, &c, 60);
+    assert_true(c.told_at == 0);
     world_run(w, 1);
-    assert_int_equal(status_of(w, c.request), 503);
+    assert_int_equal(world_status(w, c.request), 503);
     assert_true(world_answer(w, c.request)->retry_after_s > 0);
     uint64_t poll = world_poll(w, c.node, "run-1");
     world_run(w, 1);
-    assert_int_equal(status_of(w, poll), 503);
+    assert_int_equal(world_status(w, poll), 503);
     /* The commit is kept: what was asked for comes true, and is told, once a coordinator has it. */
     w->state_down = w->peers_cut = false;
     w->denied_node = -1;
@@ -136,11 +131,11 @@
     say_taken(w, node, "run-1", w->revision, token - 1);
     uint64_t poll = world_poll(w, node, "run-1");
     world_run(w, 1);
-    assert_int_equal(status_of(w, poll), 503);
+    assert_int_equal(world_status(w, poll), 503);
     say_taken(w, node, "run-1", w->revision, token);
     poll = world_poll(w, node, "run-1");
     world_run(w, 1);
-    assert_int_equal(status_of(w, poll), 200);
+    assert_int_equal(world_status(w, poll), 200);
     world_free(w); /* that word was made up: the tasks go on */
 }
 
@@ -181,7 +176,7 @@
     w->keep_held = true;
     uint64_t first = world_withdraw(w, w->hold_node, "run-1");
     world_run(w, 3);
-    assert_int_equal(status_of(w, first), 503);
+    assert_int_equal(world_status(w, first), 503);
     world_kill_node(w, old);
     world_run(w, 10);
     assert_true(world_leader(w) >= 0 && world_leader(w) != old);
@@ -321,12 +316,12 @@
         world_run(w, 0.1);
         uint64_t again = world_poll(w, offset % WORLD_NODES, "run-1");
         world_run(w, 6);
-        assert_int_not_equal(status_of(w, cancel), 0);
-        assert_int_not_equal(status_of(w, poll), 0);
-        assert_int_not_equal(status_of(w, again), 0);
+        assert_int_not_equal(world_status(w, cancel), 0);
+        assert_int_not_equal(world_status(w, poll), 0);
+        assert_int_not_equal(world_status(w, again), 0);
         int end = world_stance(w, "run-1");
         assert_true(end == OW_DONE || end == OW_CANCELLED);
-        if (status_of(w, cancel) == 200)
+        if (world_status(w, cancel) == 200)
             assert_int_equal(world_answer(w, cancel)->stance, end);
         world_finish(w);
     }
@@ -377,8 +372,7 @@
     const char *ids[] = {"run-1", "run-2"};
     for (int i = 0; i < 2; i++) {
         struct ow_submission *job = world_job(ids[i], 2, 4);
-        g_free(job->team);
-        job->team = g_strdup("tight");
+        world_set_team(job, "tight");
         world_submit(w, 0, job);
         world_run(w, 4);
     }
--- a/tests/test_safety.c
+++ b/tests/test_safety.c
@@ -4,12 +4,6 @@
 
 #include <string.h>
 
-static bool runs_on_another(struct world *w, const void *machine)
-{
-    const struct world_machine *m = world_where(w, "run-1");
-    return m != NULL && m != machine;
-}
-
 /* Rule 1: no launch before its record has committed. */
 static void test_no_launch_before_its_record(void **state)
 {
@@ -43,8 +37,8 @@
     struct world_machine *m = world_where(w, "run-1");
     m->cut = true;
     world_run(w, 15);
-    assert_false(runs_on_another(w, m));
-    assert_true(world_until(w, 20, runs_on_another, m));
+    assert_false(world_runs_on_another(w, m));
+    assert_true(world_until(w, 20, world_runs_on_another, m));
     /* When the cut ends, its packets arrive: nothing of them may count any more. */
     m->cut = false;
     world_run(w, 20);
@@ -66,7 +60,7 @@
     world_run(w, 1.5);
     m->gone = true;
     g_array_set_size(m->tasks, 0);
-    assert_true(world_until(w, 12, runs_on_another, m));
+    assert_true(world_until(w, 12, world_runs_on_another, m));
     world_finish(w);
 }
 
@@ -136,7 +130,7 @@
     m->renewed_at = w->now + 1000;
     world_run(w, 60);
     assert_true(world_leader(w) != old);
-    assert_false(runs_on_another(w, m));
+    assert_false(world_runs_on_another(w, m));
     m->cut = false;
     world_run(w, 10);
     assert_true(world_where(w, "run-1") == m);
@@ -258,7 +252,7 @@
     struct world_machine *m = world_where(w, "run-1");
     m->gone = true;
     g_array_set_size(m->tasks, 0);
-    assert_true(world_until(w, 60, runs_on_another, m));
+    assert_true(world_until(w, 60, world_runs_on_another, m));
     char *before = world_progress(w, "run-1/0");
     w->keep_held = false;
     world_run(w, 0.2);
@@ -299,10 +293,8 @@
     w->run_s = 200;
     w->cloud_down = true;
     struct ow_submission *first = world_job("run-1", 2, 4), *second = world_job("run-2", 1, 4);
-    g_free(first->team);
-    g_free(second->team);
-    first->team = g_strdup("tight");
-    second->team = g_strdup("tight");
+    world_set_team(first, "tight");
+    world_set_team(second, "tight");
     world_submit(w, 0, first);
     assert_true(world_until(w, 10, world_some_running, "run-1"));
     world_run(w, 3);
--- a/tests/test_services.c
+++ b/tests/test_services.c
@@ -32,12 +32,6 @@
     return count;
 }
 
-static bool is_gone(struct world *w, const void *machine)
-{
-    (void)w;
-    return ((const struct world_machine *)machine)->gone;
-}
-
 static bool three_run(struct world *w, const void *job)
 {
     return world_running(w, job) == 3;
@@ -85,7 +79,7 @@
     struct world *w = with_service(4, 3);
     struct world_machine *m = world_where(w, "run-1");
     m->hangs = true;
-    assert_true(world_until(w, 14, is_gone, m));
+    assert_true(world_until(w, 14, world_is_gone, m));
     assert_true(world_until(w, 4, three_run, "run-1"));
     world_finish(w);
 }
@@ -159,8 +153,7 @@
     world_run(w, 4);
     struct ow_submission *service = world_service("run-1", 4, 1), *large = world_service("run-2", 9, 1);
     service->spread = true;
-    g_free(large->team);
-    large->team = g_strdup("tight");
+    world_set_team(large, "tight");
     uint64_t a = world_submit(w, 0, service), b = world_submit(w, 0, large);
     world_run(w, 8);
     assert_int_equal(world_answer(w, a)->status, 201);
--- a/tests/test_store_core.c
+++ b/tests/test_store_core.c
@@ -18,12 +18,6 @@
     return w;
 }
 
-static int status_of(struct world *w, uint64_t request)
-{
-    const struct world_answer *a = world_answer(w, request);
-    return a != NULL ? a->status : 0;
-}
-
 static void test_one_leads_and_another_takes_over(void **state)
 {
     (void)state;
@@ -112,7 +106,7 @@
     w->state_down = true;
     uint64_t request = world_submit(w, 1, world_job("run-1", 1, 1));
     world_run(w, 0.3);
-    assert_int_equal(status_of(w, request), 503);
+    assert_int_equal(world_status(w, request), 503);
     assert_true(world_answer(w, request)->retry_after_s > 0);
     w->state_down = false;
     assert_int_equal(world_stance(w, "run-1"), -404);
@@ -145,14 +139,14 @@
     struct world *w = start_world(3, 1);
     uint64_t first = world_submit(w, 0, world_job("run-1", 1, 1));
     world_run(w, 0.5);
-    assert_int_equal(status_of(w, first), 201);
+    assert_int_equal(world_status(w, first), 201);
     /* Elsewhere, and now impossible: still the same job. */
     uint64_t repeat = world_submit(w, 1, world_job("run-1", 1, 1000));
     world_run(w, 0.5);
-    assert_int_equal(status_of(w, repeat), 200);
+    assert_int_equal(world_status(w, repeat), 200);
     uint64_t never = world_submit(w, 1, world_job("run-2", 1, 1000));
     world_run(w, 0.5);
-    assert_int_equal(status_of(w, never), 422);
+    assert_int_equal(world_status(w, never), 422);
     world_finish(w);
 }
 
@@ -166,8 +160,8 @@
     world_run(w, 0.1);
     uint64_t repeat = world_submit(w, 1, world_job("run-1", 1, 1000));
     world_run(w, 0.5);
-    assert_int_equal(status_of(w, first), 201);
-    assert_int_equal(status_of(w, repeat), 200);
+    assert_int_equal(world_status(w, first), 201);
+    assert_int_equal(world_status(w, repeat), 200);
     world_finish(w);
 }
 
@@ -181,14 +175,14 @@
     world_run(w, 0.1);
     uint64_t repeat = world_submit_malformed(w, 1, "run-1"), other = world_submit_malformed(w, 1, "run-2");
     world_run(w, 0.5);
-    assert_int_equal(status_of(w, repeat), 200);
-    assert_int_equal(status_of(w, other), 400);
+    assert_int_equal(world_status(w, repeat), 200);
+    assert_int_equal(world_status(w, other), 400);
     w->state_down = true; /* can't tell */
     repeat = world_submit_malformed(w, 2, "run-1");
     other = world_submit_malformed(w, 2, "run-2");
     world_run(w, 0.5);
-    assert_int_equal(status_of(w, repeat), 503);
-    assert_int_equal(status_of(w, other), 503);
+    assert_int_equal(world_status(w, repeat), 503);
+    assert_int_equal(world_status(w, other), 503);
     world_finish(w);
 }
 
@@ -207,7 +201,7 @@
         asked[i] = world_submit(w, 0, gangs[i]);
     world_run(w, 0.5);
     for (int i = 0; i < 4; i++)
-        assert_int_equal(status_of(w, asked[i]), i < 2 ? 422 : 201);
+        assert_int_equal(world_status(w, asked[i]), i < 2 ? 422 : 201);
     world_finish(w);
 }
 
@@ -217,19 +211,16 @@
     struct world *w = start_world(1, 1);
     struct ow_submission *gang = world_job("run-1", 3, 4), *array = world_job("run-2", 3, 4);
     struct ow_submission *stranger = world_job("run-3", 1, 1);
-    g_free(gang->team);
-    g_free(array->team);
-    g_free(stranger->team);
-    gang->team = g_strdup("tight");
-    array->team = g_strdup("tight");
-    stranger->team = g_strdup("strangers");
+    world_set_team(gang, "tight");
+    world_set_team(array, "tight");
+    world_set_team(stranger, "strangers");
     gang->gang = true;
     gang->kind = OW_KIND_GANG;
     uint64_t a = world_submit(w, 0, gang), b = world_submit(w, 0, array), c = world_submit(w, 0, stranger);
     world_run(w, 0.5);
-    assert_int_equal(status_of(w, a), 422);
-    assert_int_equal(status_of(w, b), 201);
-    assert_int_equal(status_of(w, c), 422);
+    assert_int_equal(world_status(w, a), 422);
+    assert_int_equal(world_status(w, b), 201);
+    assert_int_equal(world_status(w, c), 422);
     world_finish(w);
 }
 
@@ -243,21 +234,21 @@
     int asked = (world_leader(w) + 1) % WORLD_NODES, other = (world_leader(w) + 2) % WORLD_NODES;
     uint64_t poll = world_poll(w, asked, "run-1");
     world_run(w, 0.3);
-    assert_int_equal(status_of(w, poll), 200);
+    assert_int_equal(world_status(w, poll), 200);
     w->deaf_watches = true;
     uint64_t withdrawal = world_withdraw(w, other, "run-1");
     world_run(w, 0.3);
-    assert_int_equal(status_of(w, withdrawal), 200);
+    assert_int_equal(world_status(w, withdrawal), 200);
     /* It learns of it only by asking: rule 5. */
     poll = world_poll(w, asked, "run-1");
     world_run(w, 0.3);
-    assert_int_equal(status_of(w, poll), 200);
+    assert_int_equal(world_status(w, poll), 200);
     assert_int_equal(world_answer(w, poll)->stance, OW_CANCELLED);
     w->state_down = true;
     uint64_t blind = world_poll(w, other, "run-9"), sure = world_poll(w, asked, "run-1");
     world_run(w, 0.5);
-    assert_int_equal(status_of(w, blind), 503);
-    assert_int_equal(status_of(w, sure), 200);
+    assert_int_equal(world_status(w, blind), 503);
+    assert_int_equal(world_status(w, sure), 200);
     world_finish(w);
 }
 
@@ -274,7 +265,7 @@
     for (int node = 0; node < WORLD_NODES; node++) {
         uint64_t poll = world_poll(w, node, "run-1");
         world_run(w, 0.3);
-        assert_true(status_of(w, poll) == 200 && world_answer(w, poll)->stance != OW_DONE);
+        assert_true(world_status(w, poll) == 200 && world_answer(w, poll)->stance != OW_DONE);
     }
     w->hold_txns = false;
     assert_true(world_until(w, 10, world_all_done, "run-1"));
@@ -292,7 +283,7 @@
     assert_true(world_until(w, 10, world_none_running, "run-1"));
     uint64_t late = world_withdraw(w, 1, "run-1");
     world_run(w, 5);
-    assert_int_equal(status_of(w, late), 200);
+    assert_int_equal(world_status(w, late), 200);
     enum ow_stance told = world_answer(w, late)->stance;
     assert_true(told == OW_DONE || told == OW_CANCELLED);
     assert_int_equal(world_stance(w, "run-1"), told);
--- a/tests/world.c
+++ b/tests/world.c
@@ -243,6 +243,12 @@
     return g_hash_table_lookup(w->answers, &request);
 }
 
+int world_status(struct world *w, uint64_t request)
+{
+    const struct world_answer *a = world_answer(w, request);
+    return a != NULL ? a->status : 0;
+}
+
 int world_stance(struct world *w, const char *id)
 {
     for (int i = 0; i < 30; i++) {
@@ -273,6 +279,12 @@
     return s;
 }
 
+void world_set_team(struct ow_submission *s, const char *team)
+{
+    g_free(s->team);
+    s->team = g_strdup(team);
+}
+
 struct ow_submission *world_service(const char *id, uint32_t replicas, double cpus)
 {
     struct ow_submission *s = world_job(id, replicas, cpus);
@@ -492,3 +504,15 @@
     }
     return NULL;
 }
+
+bool world_is_gone(struct world *w, const void *machine)
+{
+    (void)w;
+    return ((const struct world_machine *)machine)->gone;
+}
+
+bool world_runs_on_another(struct world *w, const void *machine)
+{
+    const struct world_machine *m = world_where(w, "run-1");
+    return m != NULL && m != machine;
+}
--- a/tests/world.h
+++ b/tests/world.h
@@ -141,6 +141,8 @@
 uint64_t world_poll(struct world *w, int node, const char *id);
 uint64_t world_withdraw(struct world *w, int node, const char *id);
 const struct world_answer *world_answer(struct world *w, uint64_t request);
+/* The status of the answer; 0: there is none yet. */
+int world_status(struct world *w, uint64_t request);
 /* Asks every second until a node says how the job stands, and tells it. */
 int world_stance(struct world *w, const char *id);
 
@@ -148,6 +150,8 @@
 struct ow_submission *world_service(const char *id, uint32_t replicas, double cpus);
 struct ow_submission *world_gang(const char *id, uint32_t tasks, double cpus);
 
+void world_set_team(struct ow_submission *submission, const char *team);
+
 /* The machine that runs the job, or NULL. */
 struct world_machine *world_where(struct world *w, const char *job);
 /* What workers hold now. */
@@ -155,6 +159,10 @@
 bool world_all_done(struct world *w, const void *job);
 bool world_some_running(struct world *w, const void *job);
 bool world_none_running(struct world *w, const void *job);
+/* Of a struct world_machine. */
+bool world_is_gone(struct world *w, const void *machine);
+/* Whether "run-1" runs, and not there. */
+bool world_runs_on_another(struct world *w, const void *machine);
 /* The progress record "<job>/<chunk>" wherever it stands, to be freed; NULL: there is none. */
 char *world_progress(struct world *w, const char *name);
 const char *world_value_text(struct world *w, const char *key);
