Fleets of 4,000 machines: lists in parts, take-overs within the processor's share

Found: a look at every machine in each round of the loop, a scan of all connections for each direct command, one command to every machine at once at a take-over, the answer to the lease's renewal behind thousands of reports, reports answered whose workers had hung up. Separately, the list of machines was cut at 3,000, and not sent at all beyond some 1,700 (a link took no more than 128 KiB); an answer of the state service above 4 MiB was asked for again and again.

Now: direct commands from a list of machines that are due one, and paced after a take-over; idle connections by endpoint; under load the state service's answers first, and nobody served who has gone; passes as much rarer as the fleet is larger than 1,500 machines; long lists in parts, which earlier versions skip; changes too many for one answer are read page by page; names of machines in records are freed.

Ruled out: the core's own work (perf: a few percent).

--- a/src/core/api/job_cache.c
+++ b/src/core/api/job_cache.c
@@ -8,6 +8,8 @@
 #include <string.h>
 
 /* How long a watch may stay open, and the least time between two reads of one kind. */
+/* The state service no longer holds the changes asked for; an answer was larger than the client takes. */
+enum { STATUS_GONE = 410, STATUS_TOO_LARGE = 413 };
 static const double WATCH_S = 10, WATCH_GAP_LEADER_S = 0.1, WATCH_GAP_S = 1.0, FRESH_GAP_S = 0.05,
                     RETRY_S = 0.5, READ_SHARE = 0.4;
 
@@ -96,9 +98,16 @@
     free_waiters(batch);
 }
 
+/* Whether the changes since our revision can't be had in one answer: the state service no longer holds them,
+   or they are more than we take in at once. Asking for them again would never end. */
+static bool is_beyond_reach(int status)
+{
+    return status == STATUS_GONE || status == STATUS_TOO_LARGE;
+}
+
+/* Reads everything again, page by page. */
 static void restart_load(struct ow_job_cache *job_cache)
 {
-    /* The state service no longer holds the changes since our revision: read everything again. */
     job_cache->loaded = false;
     g_clear_pointer(&job_cache->list_after, g_free);
     job_cache->load_at = job_cache->controller->now;
@@ -120,7 +129,7 @@
     bool ok = answer->store.status == 200;
     if (ok)
         apply_changes(job_cache, &answer->store);
-    else if (answer->store.status == 410)
+    else if (is_beyond_reach(answer->store.status))
         restart_load(job_cache);
     answer_waiters(job_cache, job_cache->asked, ok);
 }
@@ -133,7 +142,7 @@
     double gap = job_cache->controller->leader != NULL ? WATCH_GAP_LEADER_S : WATCH_GAP_S;
     if (answer->store.status == 200)
         apply_changes(job_cache, &answer->store);
-    else if (answer->store.status == 410)
+    else if (is_beyond_reach(answer->store.status))
         restart_load(job_cache);
     else
         gap = RETRY_S;
--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -3,6 +3,7 @@
 #include "core/leader_state.h"
 #include "core/machines/machine.h"
 #include "core/machines/machine_health.h"
+#include "core/machines/worker_commands.h"
 #include "core/records/recorder.h"
 #include "core/run.h"
 #include "core/scheduling/classes.h"
@@ -176,5 +177,5 @@
     if (attempt->state == OW_ATTEMPT_PLANNED || attempt->state == OW_ATTEMPT_COMMITTED)
         ow_attempt_end(leader, attempt, OW_CAUSE_STOPPED, "no launch has left");
     else
-        machine->direct_wanted = true;
+        ow_worker_commands_want(leader, machine);
 }
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -9,6 +9,7 @@
 #include "core/controller.h"
 #include "core/election/election.h"
 #include "core/health.h"
+#include "core/machine_hints.h"
 #include "core/leader.h"
 #include "core/peer_messages.h"
 #include "core/scheduling/classes.h"
@@ -46,7 +47,7 @@
     controller->election = ow_election_new(controller);
     controller->cancellation_ack = ow_cancellation_ack_new(controller);
     controller->peers_ok = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    controller->machine_hints = ow_peer_machines_new();
+    controller->machine_hints = ow_machine_hints_new();
     controller->effects = g_ptr_array_new_with_free_func(ow_effect_free);
     core->type_discovery.controller = controller;
     for (int i = 0; i < QUEUES; i++)
@@ -75,7 +76,7 @@
     g_array_free(controller->classes, TRUE);
     g_hash_table_destroy(controller->peers_ok);
     g_hash_table_destroy(controller->peer_formats);
-    g_array_free(controller->machine_hints, TRUE);
+    ow_machine_hints_free(controller->machine_hints);
     g_ptr_array_free(controller->effects, TRUE);
     g_free(core);
 }
--- a/src/core/effects.c
+++ b/src/core/effects.c
@@ -28,7 +28,7 @@
     if (kind == OW_PEER_SUMMARY) {
         m->jobs = g_array_new(FALSE, TRUE, sizeof(struct ow_peer_job));
         g_array_set_clear_func(m->jobs, peer_job_clear);
-    } else if (kind == OW_PEER_MACHINES) {
+    } else if (kind == OW_PEER_MACHINES || kind == OW_PEER_MACHINES_PART) {
         m->machines = ow_peer_machines_new();
     }
     return m;
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -42,6 +42,7 @@
     OW_PEER_MACHINES,
     OW_PEER_CANCELLATION,
     OW_PEER_CANCELLATION_ACK,
+    OW_PEER_MACHINES_PART,
     OW_PEER_LINK_LOST = 1000, /* never sent: the link itself says that a controller seems to have ended */
 };
 
@@ -53,8 +54,10 @@
     char job[OW_ID_MAX + 1]; /* of a cancellation, committed or acknowledged */
     uint64_t revision;       /* of its record */
     bool leads, state_ok, receives_reports;
-    GArray *jobs;     /* struct ow_peer_job */
-    GArray *machines; /* struct ow_peer_machine */
+    GArray *jobs;        /* struct ow_peer_job */
+    GArray *machines;    /* struct ow_peer_machine */
+    uint32_t part;       /* of a list in parts: which this is, from 0 */
+    uint32_t part_count; /* and how many there are */
 };
 
 /* An empty list of struct ow_peer_machine that owns its members. */
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -1,5 +1,6 @@
 #include "core/leader.h"
 #include "core/election/election.h"
+#include "core/leader_broadcast.h"
 #include "core/leader_state.h"
 #include "core/machines/fleet.h"
 #include "core/machines/machine.h"
@@ -23,16 +24,15 @@
 
 #include <string.h>
 
-static const double PASS_GAP_S = 0.1, PASS_LEAST_S = 1, CARE_S = 0.5, SUMMARY_S = 1.5, HINTS_S = 5,
-                    TYPES_S = 60, TYPES_RETRY_S = 2;
+static const double PASS_GAP_S = 0.1, PASS_LEAST_S = 1, CARE_S = 0.5, TYPES_S = 60, TYPES_RETRY_S = 2;
 /* So many reports missed by all machines, and a recent message of a peer that it receives theirs. */
 static const double LOST_REPORTS = 2.5, LOST_MESSAGE_S = 3;
+/* Up to so many machines passes follow each other as soon as PASS_GAP_S allows. */
+static const double PASS_MACHINES = 1500;
 /* After so long without an answer a worker reports to another controller. */
 static const double REPORT_TIMEOUT_S = 4;
 /* One machine alone may be at fault itself. */
 enum { LOST_LEAST = 2 };
-/* The most that one message to the peers names. */
-enum { SUMMARY_JOBS_MOST = 1500, HINTS_MACHINES_MOST = 3000 };
 /* The share of the permitted cloud requests that the leader uses. */
 static const double CLOUD_SHARE = 0.8;
 
@@ -43,6 +43,7 @@
     leader->token = token;
     leader->machines_by_name = g_hash_table_new(g_str_hash, g_str_equal);
     leader->machines = g_ptr_array_new_with_free_func(ow_machine_free);
+    leader->direct_due = g_ptr_array_new();
     leader->runs = g_ptr_array_new();
     leader->pass.image_demand = ow_image_demand_new_table();
     leader->pass.shortlists = ow_shortlists_new();
@@ -66,6 +67,7 @@
     g_ptr_array_free(leader->runs, TRUE);
     g_hash_table_destroy(leader->machines_by_name);
     g_ptr_array_free(leader->machines, TRUE);
+    g_ptr_array_free(leader->direct_due, TRUE);
     g_array_free(leader->renting.refusals, TRUE);
     g_ptr_array_free(leader->deletions.queued, TRUE);
     g_hash_table_destroy(leader->deletions.names);
@@ -136,37 +138,6 @@
     }
 }
 
-static void send_summary(struct ow_leader *leader)
-{
-    struct ow_peer_message *message = ow_peer_message_new(OW_PEER_SUMMARY);
-    message->number = leader->token;
-    for (guint i = 0; i < leader->runs->len && i < SUMMARY_JOBS_MOST; i++) {
-        const struct ow_run *run = g_ptr_array_index(leader->runs, i);
-        struct ow_peer_job job = {
-            .done = run->job->done, .running = run->job->running, .reason = g_strdup(run->job->reason)};
-        g_strlcpy(job.id, run->job->id, sizeof job.id);
-        g_array_append_val(message->jobs, job);
-    }
-    ow_controller_send_to_peers(leader->controller, message);
-}
-
-static void send_machines(struct ow_leader *leader)
-{
-    struct ow_peer_message *message = ow_peer_message_new(OW_PEER_MACHINES);
-    message->number = leader->token;
-    for (guint i = 0; i < leader->machines->len && i < HINTS_MACHINES_MOST; i++) {
-        const struct ow_machine *machine = g_ptr_array_index(leader->machines, i);
-        if (machine->addr == NULL || machine->type < 0 || machine->deleting)
-            continue;
-        struct ow_peer_machine hint = {
-            g_strdup(machine->name), g_strdup(machine->addr),
-            g_strdup(ow_names_text(leader->controller->names.types, machine->type)),
-            g_strdup(ow_names_text(leader->controller->names.zones, machine->zone)), machine->spot};
-        g_array_append_val(message->machines, hint);
-    }
-    ow_controller_send_to_peers(leader->controller, message);
-}
-
 static void on_types(void *owner, void *data, const struct ow_event *answer)
 {
     struct ow_leader *leader = owner;
@@ -254,7 +225,9 @@
 static bool pass_is_due(const struct ow_leader *leader)
 {
     double now = leader->controller->now;
-    return (leader->pass.due && now >= leader->pass.last_at + PASS_GAP_S) ||
+    /* A pass looks at every machine: in a large fleet passes are as much rarer as there are more machines. */
+    double gap_s = PASS_GAP_S * MAX(1, (double)leader->machines->len / PASS_MACHINES);
+    return (leader->pass.due && now >= leader->pass.last_at + gap_s) ||
            now >= leader->pass.last_at + PASS_LEAST_S;
 }
 
@@ -267,19 +240,6 @@
     count_for_users(leader);
 }
 
-static void inform_peers(struct ow_leader *leader)
-{
-    double now = leader->controller->now;
-    if (now >= leader->periodic.summary_at) {
-        leader->periodic.summary_at = now + SUMMARY_S;
-        send_summary(leader);
-    }
-    if (now >= leader->periodic.hints_at) {
-        leader->periodic.hints_at = now + HINTS_S;
-        send_machines(leader);
-    }
-}
-
 void ow_leader_tick(struct ow_leader *leader)
 {
     double now = leader->controller->now;
@@ -302,5 +262,5 @@
     ow_fleet_send_deletions(leader);
     ow_recorder_tick(leader);
     ow_worker_commands_send(leader);
-    inform_peers(leader);
+    ow_leader_broadcast_tick(leader);
 }
--- a/src/core/leader_state.h
+++ b/src/core/leader_state.h
@@ -84,6 +84,7 @@
     GHashTable *machines_by_name; /* name -> struct ow_machine */
     GPtrArray *machines;          /* struct ow_machine, owned */
     uint32_t report_generation;   /* reports.c: reports taken in so far */
+    GPtrArray *direct_due;        /* struct ow_machine, not owned: worker_commands.c */
 
     GPtrArray *runs; /* struct ow_run, owned: run.c */
     struct ow_team_state teams;
--- /dev/null
+++ b/src/core/machine_hints.c
@@ -0,0 +1,99 @@
+/* Where machines listen, as the leader last told. */
+#include "core/machine_hints.h"
+
+struct ow_machine_hints {
+    GArray *machines; /* struct ow_peer_machine: the last complete list */
+    uint64_t token;   /* of the newest leader that has sent a list */
+    /* The list that comes in parts: */
+    GArray *assembled;   /* struct ow_peer_machine of the parts so far; NULL: none is under way */
+    uint32_t next_part;  /* which is expected */
+    uint32_t part_count; /* of the whole list */
+};
+
+struct ow_machine_hints *ow_machine_hints_new(void)
+{
+    struct ow_machine_hints *hints = g_new0(struct ow_machine_hints, 1);
+    hints->machines = ow_peer_machines_new();
+    return hints;
+}
+
+static void drop_parts(struct ow_machine_hints *hints)
+{
+    if (hints->assembled != NULL)
+        g_array_free(hints->assembled, TRUE);
+    hints->assembled = NULL;
+}
+
+void ow_machine_hints_free(struct ow_machine_hints *hints)
+{
+    drop_parts(hints);
+    g_array_free(hints->machines, TRUE);
+    g_free(hints);
+}
+
+const GArray *ow_machine_hints_list(const struct ow_machine_hints *hints)
+{
+    return hints->machines;
+}
+
+static void use_list(struct ow_machine_hints *hints, GArray *machines)
+{
+    g_array_free(hints->machines, TRUE);
+    hints->machines = machines;
+}
+
+/* Whether the part continues the list under way, or begins one. */
+static bool is_expected(const struct ow_machine_hints *hints, const struct ow_peer_message *message)
+{
+    if (message->part == 0)
+        return true;
+    return hints->assembled != NULL && message->part == hints->next_part &&
+           message->part_count == hints->part_count;
+}
+
+/* Moves the machines of the message behind those of the parts before it. */
+static void append_part(struct ow_machine_hints *hints, struct ow_peer_message *message)
+{
+    for (guint i = 0; i < message->machines->len; i++) {
+        struct ow_peer_machine *machine = &g_array_index(message->machines, struct ow_peer_machine, i);
+        g_array_append_val(hints->assembled, *machine);
+        *machine = (struct ow_peer_machine){0};
+    }
+}
+
+static void take_part(struct ow_machine_hints *hints, struct ow_peer_message *message)
+{
+    if (message->part >= message->part_count || !is_expected(hints, message)) {
+        g_info("part %u of %u of the list of machines is not the next one: the list is dropped",
+               message->part + 1, message->part_count);
+        drop_parts(hints);
+        return;
+    }
+    if (message->part == 0) {
+        drop_parts(hints);
+        hints->assembled = ow_peer_machines_new();
+        hints->part_count = message->part_count;
+    }
+    append_part(hints, message);
+    hints->next_part = message->part + 1;
+    if (hints->next_part == hints->part_count)
+        use_list(hints, g_steal_pointer(&hints->assembled));
+}
+
+void ow_machine_hints_take(struct ow_machine_hints *hints, struct ow_peer_message *message)
+{
+    if (message->number < hints->token) {
+        g_info("a list of machines of an older leader is dropped");
+        return;
+    }
+    /* Parts of two leaders are not parts of one list. */
+    if (message->number > hints->token)
+        drop_parts(hints);
+    hints->token = message->number;
+    if (message->kind == OW_PEER_MACHINES_PART) {
+        take_part(hints, message);
+        return;
+    }
+    drop_parts(hints);
+    use_list(hints, g_steal_pointer(&message->machines));
+}
--- /dev/null
+++ b/src/core/machine_hints.h
@@ -0,0 +1,18 @@
+/* Where machines listen, as the leader last told: whoever takes over next reaches them before the cloud's
+ * list is there. The list comes whole, or in parts of which none is used until all have come. */
+#ifndef OW_CORE_MACHINE_HINTS_H
+#define OW_CORE_MACHINE_HINTS_H
+
+#include "core/effects.h"
+
+struct ow_machine_hints;
+
+struct ow_machine_hints *ow_machine_hints_new(void);
+void ow_machine_hints_free(struct ow_machine_hints *hints);
+/* Takes in a message of kind OW_PEER_MACHINES or OW_PEER_MACHINES_PART, whose list it takes over. A message
+   of an older leader is dropped; a part that is not the next one drops all parts before it. */
+void ow_machine_hints_take(struct ow_machine_hints *hints, struct ow_peer_message *message);
+/* The last complete list, of struct ow_peer_machine. */
+const GArray *ow_machine_hints_list(const struct ow_machine_hints *hints);
+
+#endif
--- a/src/core/machines/machine_health.c
+++ b/src/core/machines/machine_health.c
@@ -5,6 +5,7 @@
 #include "core/machines/fleet.h"
 #include "core/machines/machine.h"
 #include "core/machines/machine_registry.h"
+#include "core/machines/worker_commands.h"
 #include "core/run.h"
 #include "core/scheduling/service_moves.h"
 
@@ -154,7 +155,7 @@
             continue;
         double waited = now - attempt->stop_at;
         if (waited > 1 && !machine->direct_busy)
-            machine->direct_wanted = true;
+            ow_worker_commands_want(leader, machine);
         if (waited > 0.5 * leader->controller->settings->cancel_s) {
             ow_fleet_delete(leader, machine, "a cancelled task can't be ended otherwise");
             return;
@@ -204,7 +205,7 @@
         if (machine->reclaimed_at > 0)
             drain_noticed(leader, machine);
         if (needs_direct_call(leader, machine))
-            machine->direct_wanted = true;
+            ow_worker_commands_want(leader, machine);
         /* A faulty machine is given back; a sound one is rented in its place if it is missed. */
         if (leader->controller->now < machine->quarantine_until && machine->attempts->len == 0)
             ow_fleet_delete(leader, machine, "it is faulty");
--- a/src/core/machines/machine_registry.c
+++ b/src/core/machines/machine_registry.c
@@ -2,6 +2,7 @@
 #include "core/machines/machine_registry.h"
 #include "core/leader_state.h"
 #include "core/machines/machine.h"
+#include "core/machines/worker_commands.h"
 #include "core/run.h"
 #include "core/scheduling/reservation.h"
 
@@ -69,6 +70,7 @@
         g_hash_table_remove(run->bad_machines, machine);
         ow_reservation_forget(run->reservation, machine);
     }
+    ow_worker_commands_forget(leader, machine);
     g_hash_table_remove(leader->machines_by_name, machine->name);
     g_ptr_array_remove_fast(leader->machines, machine);
     leader->pass.due = true;
--- a/src/core/machines/reports.c
+++ b/src/core/machines/reports.c
@@ -3,6 +3,7 @@
 #include "core/leader_state.h"
 #include "core/machines/machine.h"
 #include "core/machines/machine_registry.h"
+#include "core/machines/worker_commands.h"
 #include "core/records/recorder.h"
 #include "core/run.h"
 
@@ -235,7 +236,8 @@
     apply_session(leader, machine, report);
     if (report->token != leader->token || leader->phase != OW_LEADER_READY) {
         /* Until it has seen our token an older leader may still change what it says. */
-        machine->direct_wanted = machine->direct_wanted || leader->phase == OW_LEADER_READY;
+        if (leader->phase == OW_LEADER_READY)
+            ow_worker_commands_want(leader, machine);
         return machine;
     }
     if (!machine->fenced)
--- a/src/core/machines/worker_commands.c
+++ b/src/core/machines/worker_commands.c
@@ -9,6 +9,10 @@
 
 enum { COMMANDS_MAX = 400 };
 static const double DIRECT_PAUSE_S = 3, REFUSED_PAUSE_S = 0.5, UNSENT_PAUSE_S = 0.5;
+/* Processor time of a direct command with its answer, in seconds of a core, and the part of our share of a
+   core that those to all machines may take: at a take-over every worker reports as well, and the lease has to
+   be renewed. */
+static const double DIRECT_COST_S = 100e-6, WANT_ALL_SHARE = 0.5;
 
 static void add_command(GArray *commands, enum ow_worker_command_kind kind, const struct ow_attempt *attempt)
 {
@@ -87,7 +91,7 @@
     if (answer->status == OW_STATUS_UNSENT) {
         /* Nothing left us, so no launch is unacknowledged, and the machine's connection was not tried. */
         g_array_set_size(machine->direct_launches, 0);
-        machine->direct_wanted = true;
+        ow_worker_commands_want(leader, machine);
         machine->direct_at = leader->controller->now + UNSENT_PAUSE_S;
         return;
     }
@@ -122,12 +126,48 @@
     ow_controller_emit(leader->controller, effect);
 }
 
-void ow_worker_commands_send(struct ow_leader *leader)
+void ow_worker_commands_want(struct ow_leader *leader, struct ow_machine *machine)
+{
+    machine->direct_wanted = true;
+    if (machine->direct_listed)
+        return;
+    machine->direct_listed = true;
+    g_ptr_array_add(leader->direct_due, machine);
+}
+
+void ow_worker_commands_want_all(struct ow_leader *leader)
 {
+    double interval_s = DIRECT_COST_S / (WANT_ALL_SHARE * leader->controller->settings->core_share);
     for (guint i = 0; i < leader->machines->len; i++) {
         struct ow_machine *machine = g_ptr_array_index(leader->machines, i);
-        if (machine->direct_wanted && !machine->direct_busy && machine->addr != NULL &&
-            leader->controller->now >= machine->direct_at)
+        machine->direct_at = leader->controller->now + i * interval_s;
+        ow_worker_commands_want(leader, machine);
+    }
+}
+
+void ow_worker_commands_forget(struct ow_leader *leader, struct ow_machine *machine)
+{
+    if (machine->direct_listed)
+        g_ptr_array_remove_fast(leader->direct_due, machine);
+    machine->direct_listed = false;
+}
+
+/* Whether the machine can be sent a direct command now. */
+static bool is_direct_possible(const struct ow_leader *leader, const struct ow_machine *machine)
+{
+    return !machine->direct_busy && machine->addr != NULL && leader->controller->now >= machine->direct_at;
+}
+
+/* Only the machines on the list are visited: in a large fleet a look at each of them in every round would
+   cost as much as their reports. */
+void ow_worker_commands_send(struct ow_leader *leader)
+{
+    for (guint i = leader->direct_due->len; i > 0; i--) {
+        struct ow_machine *machine = g_ptr_array_index(leader->direct_due, i - 1);
+        if (machine->direct_wanted && !is_direct_possible(leader, machine))
+            continue;
+        if (machine->direct_wanted)
             send_direct(leader, machine);
+        ow_worker_commands_forget(leader, machine);
     }
 }
--- a/src/core/peer_messages.c
+++ b/src/core/peer_messages.c
@@ -5,6 +5,7 @@
 #include "core/controller.h"
 #include "core/election/election.h"
 #include "core/health.h"
+#include "core/machine_hints.h"
 
 static const double HELLO_S = 1;
 /* A worker's report counts as recent for so long. */
@@ -48,12 +49,6 @@
         handle_job_summary(controller, &g_array_index(message->jobs, struct ow_peer_job, i));
 }
 
-static void handle_machines(struct ow_controller *controller, struct ow_peer_message *message)
-{
-    g_array_free(controller->machine_hints, TRUE);
-    controller->machine_hints = g_steal_pointer(&message->machines);
-}
-
 void ow_peer_messages_handle(struct ow_controller *controller, struct ow_peer_message *message)
 {
     if (message->kind != OW_PEER_LINK_LOST)
@@ -78,7 +73,8 @@
         ow_election_peer_ended(controller->election, message->sender);
         break;
     case OW_PEER_MACHINES:
-        handle_machines(controller, message);
+    case OW_PEER_MACHINES_PART:
+        ow_machine_hints_take(controller->machine_hints, message);
         break;
     }
 }
--- a/src/core/records/records.h
+++ b/src/core/records/records.h
@@ -40,9 +40,10 @@
 };
 
 struct ow_progress_record {
-    uint64_t last_attempt; /* no attempt number up to it may be used again */
-    GArray *done;          /* uint32_t task numbers, ascending */
-    GArray *live;          /* struct ow_live_record, grouped by machine and session */
+    uint64_t last_attempt;    /* no attempt number up to it may be used again */
+    GArray *done;             /* uint32_t task numbers, ascending */
+    GArray *live;             /* struct ow_live_record, grouped by machine and session */
+    GPtrArray *machine_names; /* the texts of `live`, if they are the record's own; else NULL */
 };
 
 #endif
--- a/src/core/records/takeover.c
+++ b/src/core/records/takeover.c
@@ -2,8 +2,10 @@
 #include "core/records/takeover.h"
 #include "core/api/job_cache.h"
 #include "core/leader_state.h"
+#include "core/machine_hints.h"
 #include "core/machines/machine.h"
 #include "core/machines/machine_registry.h"
+#include "core/machines/worker_commands.h"
 #include "core/records/record_values.h"
 #include "core/records/recorder.h"
 #include "core/records/records.h"
@@ -173,7 +175,7 @@
 /* Machines that the last leader told us of can be reached before any list names them. */
 static void use_hints(struct ow_leader *leader)
 {
-    const GArray *hints = leader->controller->machine_hints;
+    const GArray *hints = ow_machine_hints_list(leader->controller->machine_hints);
     for (guint i = 0; i < hints->len; i++) {
         const struct ow_peer_machine *hint = &g_array_index(hints, struct ow_peer_machine, i);
         struct ow_machine *machine = ow_machines_find_or_add(leader, hint->name);
@@ -190,8 +192,7 @@
     leader->pass.due = true;
     use_hints(leader);
     /* Fencing: a worker that has seen our token heeds no older leader any more. */
-    for (guint i = 0; i < leader->machines->len; i++)
-        ((struct ow_machine *)g_ptr_array_index(leader->machines, i))->direct_wanted = true;
+    ow_worker_commands_want_all(leader);
     g_info("took over: %u jobs with progress, %u machines known", leader->runs->len, leader->machines->len);
 }
 
--- a/src/core/records/transaction_reply.c
+++ b/src/core/records/transaction_reply.c
@@ -4,6 +4,7 @@
 #include "core/election/election.h"
 #include "core/leader_state.h"
 #include "core/machines/machine.h"
+#include "core/machines/worker_commands.h"
 #include "core/records/record_values.h"
 #include "core/records/recorder_state.h"
 #include "core/records/records.h"
@@ -35,7 +36,7 @@
     }
 }
 
-static void commit_chunk(struct ow_chunk *chunk, uint64_t serial)
+static void commit_chunk(struct ow_leader *leader, struct ow_chunk *chunk, uint64_t serial)
 {
     const struct ow_run *run = chunk->job->run;
     chunk->writing = false;
@@ -46,7 +47,7 @@
         if (ow_run_chunk(run, attempt->task) != chunk)
             continue;
         attempt->state = OW_ATTEMPT_COMMITTED;
-        attempt->machine->direct_wanted = true;
+        ow_worker_commands_want(leader, attempt->machine);
     }
 }
 
@@ -56,13 +57,14 @@
     record_value->version = revision;
     unblock_others(leader, record_value);
     for (guint i = 0; i < record_value->chunks->len; i++)
-        commit_chunk(g_ptr_array_index(record_value->chunks, i), leader->recorder->serial);
+        commit_chunk(leader, g_ptr_array_index(record_value->chunks, i), leader->recorder->serial);
 }
 
 static void commit_finish(struct ow_leader *leader, struct ow_run *run, uint64_t revision)
 {
     struct ow_job *job = run->job;
-    if (!ow_job_over(job))
+    /* The watch may have told of the record before the answer to its write came. */
+    if (job->state != OW_JOB_CANCELLED)
         g_info("job %s done", job->id);
     ow_run_drop(leader, run);
     enum ow_job_state state = job->state == OW_JOB_CANCELLED ? OW_JOB_CANCELLED : OW_JOB_DONE;
--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -32,13 +32,44 @@
     ow_http_reply_fn reply;
     void *owner;
     GPtrArray *connections; /* busy and idle, owned */
+    GHashTable *idle;       /* endpoint -> GPtrArray of idle struct connection: thousands may be open */
     unsigned most;          /* with more than these open, idle ones are closed */
 };
 
+static void note_idle(struct connection *connection)
+{
+    GHashTable *idle = connection->client->idle;
+    GPtrArray *connections = g_hash_table_lookup(idle, connection->endpoint);
+    if (connections == NULL) {
+        connections = g_ptr_array_new();
+        g_hash_table_insert(idle, g_strdup(connection->endpoint), connections);
+    }
+    g_ptr_array_add(connections, connection);
+    connection->busy = false;
+}
+
+/* The connection is idle no more: it gets a request, or is closed. */
+static void forget_idle(struct connection *connection)
+{
+    GHashTable *idle = connection->client->idle;
+    GPtrArray *connections = g_hash_table_lookup(idle, connection->endpoint);
+    if (connections == NULL || !g_ptr_array_remove_fast(connections, connection))
+        return;
+    if (connections->len == 0)
+        g_hash_table_remove(idle, connection->endpoint);
+}
+
+static void free_idle_connections(gpointer data)
+{
+    g_ptr_array_free(data, TRUE);
+}
+
 /* Frees what the array of connections owns. */
 static void release_connection(gpointer data)
 {
     struct connection *connection = data;
+    if (!connection->busy)
+        forget_idle(connection);
     if (connection->watch.fd >= 0) {
         ow_loop_forget(connection->client->loop, &connection->watch);
         close(connection->watch.fd);
@@ -54,14 +85,20 @@
     g_ptr_array_remove_fast(connection->client->connections, connection);
 }
 
-static void fail(struct connection *connection)
+/* Closes the connection and answers the request under way on it, if any, with a status of our own. */
+static void fail_with(struct connection *connection, enum ow_http_status status)
 {
     struct ow_http_client *client = connection->client;
     bool busy = connection->busy;
     uint64_t tag = connection->tag;
     close_connection(connection);
     if (busy)
-        client->reply(client->owner, tag, OW_HTTP_STATUS_NONE, "", 0);
+        client->reply(client->owner, tag, status, "", 0);
+}
+
+static void fail(struct connection *connection)
+{
+    fail_with(connection, OW_HTTP_STATUS_NONE);
 }
 
 static void finish(struct connection *connection)
@@ -75,7 +112,7 @@
         close_connection(connection);
     } else {
         ow_http_parser_reset(&connection->parser);
-        connection->busy = false;
+        note_idle(connection);
         connection->deadline = ow_loop_now(client->loop) + IDLE_CLOSE_S;
     }
     client->reply(client->owner, tag, status, body->str, body->len);
@@ -110,10 +147,14 @@
         if (result == OW_HTTP_MORE)
             continue;
         /* Anything unasked-for on an idle connection ends it, too. */
-        if (result == OW_HTTP_DONE && used == (size_t)n)
+        if (result == OW_HTTP_DONE && used == (size_t)n) {
             finish(connection);
-        else
+        } else if (result == OW_HTTP_TOO_LARGE) {
+            g_warning("an answer of %s exceeds %d bytes", connection->endpoint, BODY_LIMIT_BYTES);
+            fail_with(connection, OW_HTTP_STATUS_CONTENT_TOO_LARGE);
+        } else {
             fail(connection);
+        }
         return;
     }
 }
@@ -133,14 +174,10 @@
         read_ready(connection);
 }
 
-static struct connection *idle_connection(struct ow_http_client *client, const char *endpoint)
+static struct connection *idle_connection(const struct ow_http_client *client, const char *endpoint)
 {
-    for (guint i = 0; i < client->connections->len; i++) {
-        struct connection *connection = g_ptr_array_index(client->connections, i);
-        if (!connection->busy && strcmp(connection->endpoint, endpoint) == 0)
-            return connection;
-    }
-    return NULL;
+    const GPtrArray *connections = g_hash_table_lookup(client->idle, endpoint);
+    return connections != NULL ? g_ptr_array_index(connections, connections->len - 1) : NULL;
 }
 
 static struct connection *longest_idle(const struct ow_http_client *client)
@@ -169,6 +206,7 @@
 {
     struct connection *connection = g_new0(struct connection, 1);
     connection->client = client;
+    connection->busy = true;
     connection->endpoint = g_strdup(endpoint);
     connection->watch =
         (struct ow_watch){.fd = ow_net_connect(endpoint), .ready = connection_ready, .owner = connection};
@@ -189,6 +227,7 @@
     client->reply = reply;
     client->owner = owner;
     client->connections = g_ptr_array_new_with_free_func(release_connection);
+    client->idle = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_idle_connections);
     return client;
 }
 
@@ -197,6 +236,7 @@
     if (client == NULL)
         return;
     g_ptr_array_free(client->connections, TRUE);
+    g_hash_table_destroy(client->idle);
     g_free(client);
 }
 
@@ -208,6 +248,7 @@
         make_room(client); /* but who sends without having asked for room is in need of it */
         connection = open_connection(client, endpoint);
     }
+    forget_idle(connection);
     connection->busy = true;
     connection->tag = tag;
     connection->deadline = ow_loop_now(client->loop) + timeout_s;
@@ -224,6 +265,18 @@
         connection->deadline = 0; /* the sweep reports it */
 }
 
+void ow_http_client_read_from(struct ow_http_client *client, const char *endpoint)
+{
+    for (guint i = client->connections->len; i > 0; i--) {
+        if (i > client->connections->len)
+            continue;
+        struct connection *connection = g_ptr_array_index(client->connections, i - 1);
+        bool awaits_answer = connection->busy && connection->watch.fd >= 0 && connection->out->len == 0;
+        if (awaits_answer && strcmp(connection->endpoint, endpoint) == 0)
+            read_ready(connection);
+    }
+}
+
 void ow_http_client_bound(struct ow_http_client *client, unsigned most)
 {
     client->most = most;
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -23,6 +23,8 @@
  */
 void ow_http_client_send(struct ow_http_client *client, const char *endpoint, const char *method,
                          const char *path, const char *body, double timeout_s, uint64_t tag);
+/* Takes in what has come from the endpoint, without waiting for the loop to get there. */
+void ow_http_client_read_from(struct ow_http_client *client, const char *endpoint);
 /* From now on `most` connections are kept open at most. */
 void ow_http_client_bound(struct ow_http_client *client, unsigned most);
 /* Whether a request to the endpoint stays within the bound. The connection idle for longest makes room. */
--- a/src/io/http_connection.c
+++ b/src/io/http_connection.c
@@ -126,6 +126,11 @@
     case OW_HTTP_DONE:
         break;
     }
+    /* Under load whoever has given up waiting is not served: that would delay those who still wait. */
+    if (ow_loop_is_saturated(connection->server->loop) && ow_net_has_hung_up(connection->watch.fd)) {
+        ow_http_connection_close(connection);
+        return false;
+    }
     if (used < size)
         g_string_append_len(connection->pending, data + used, (gssize)(size - used));
     /* The handler may answer at once and with that end the connection. */
--- a/src/io/loop.c
+++ b/src/io/loop.c
@@ -13,6 +13,7 @@
     double now;
     double pause; /* what the last round asked for */
     int ready_count;
+    bool saturated; /* the last batch was full */
     struct epoll_event ready[BATCH];
 };
 
@@ -74,12 +75,18 @@
             loop->ready[i].data.ptr = NULL;
 }
 
+bool ow_loop_is_saturated(const struct ow_loop *loop)
+{
+    return loop->saturated;
+}
+
 void ow_loop_once(struct ow_loop *loop, ow_round_fn round, void *owner)
 {
     int pause_ms = (int)(loop->pause * 1000.0) + 1;
     int n = epoll_wait(loop->epoll_fd, loop->ready, BATCH, pause_ms);
     loop->now = steady_now();
     loop->ready_count = n > 0 ? n : 0;
+    loop->saturated = n == BATCH;
     for (int i = 0; i < loop->ready_count; i++) {
         struct ow_watch *watch = loop->ready[i].data.ptr;
         if (watch != NULL)
--- a/src/io/loop.h
+++ b/src/io/loop.h
@@ -34,6 +34,8 @@
 void ow_loop_change(struct ow_loop *loop, struct ow_watch *watch, uint32_t events);
 /* Ends the watch, and drops its events that are still waiting in the current batch. */
 void ow_loop_forget(struct ow_loop *loop, struct ow_watch *watch);
+/* Whether more descriptors may be ready than the batch at hand has: what comes waits its turn. */
+bool ow_loop_is_saturated(const struct ow_loop *loop);
 /* Runs for ever. */
 void ow_loop_run(struct ow_loop *loop, ow_round_fn round, void *owner);
 /* One batch and one round; ow_loop_run repeats it. Tests drive the loop with it. */
--- a/src/io/net.c
+++ b/src/io/net.c
@@ -10,7 +10,7 @@
 #include <unistd.h>
 
 /* Connections that may wait to be accepted; bytes of an address; the largest port. */
-enum { LISTEN_BACKLOG = 256, HOST_BYTES = 64, PORT_MAX = 65535 };
+enum { LISTEN_BACKLOG = 4096, HOST_BYTES = 64, PORT_MAX = 65535 };
 
 static bool parse_endpoint(const char *endpoint, struct sockaddr_in *addr)
 {
@@ -111,3 +111,9 @@
     *sent = 0;
     return true;
 }
+
+bool ow_net_has_hung_up(int fd)
+{
+    char byte;
+    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
--- a/src/io/net.h
+++ b/src/io/net.h
@@ -21,4 +21,7 @@
    when the connection is broken. */
 bool ow_net_flush(int fd, GString *out, size_t *sent);
 
+/* Whether the other side has closed the connection, as far as that is known here. */
+bool ow_net_has_hung_up(int fd);
+
 #endif
--- a/src/io/peer_link.c
+++ b/src/io/peer_link.c
@@ -12,7 +12,7 @@
 
 /* A peer that takes nothing is cut off before its backlog matters. */
 enum {
-    BACKLOG_MAX_BYTES = 128 * 1024,
+    BACKLOG_MAX_BYTES = 1024 * 1024,
     INCOMING_MAX = 32, /* links */
     READ_BYTES = 16 * 1024,
     LENGTH_BYTES = 4, /* before each frame */
@@ -243,18 +243,28 @@
     open_outgoing(link);
 }
 
+static void send_frame(struct outgoing_link *link, const GString *frame)
+{
+    /* Nothing is kept for a peer that is away: it will get newer messages. */
+    if (!link->connected)
+        return;
+    if (link->out->len + frame->len > BACKLOG_MAX_BYTES) {
+        g_info("%s takes its messages too slowly: one of %zu bytes is left out", link->endpoint, frame->len);
+        return;
+    }
+    g_string_append_len(link->out, frame->str, (gssize)frame->len);
+    flush(link);
+}
+
 void ow_peer_links_send(struct ow_peer_links *links, struct ow_peer_message *message)
 {
     GString *frame = g_string_new(NULL);
     if (wire_peer_encode(message, frame)) {
-        for (guint i = 0; i < links->out->len; i++) {
-            struct outgoing_link *link = g_ptr_array_index(links->out, i);
-            /* Nothing is kept for a peer that is away: it will get newer messages. */
-            if (!link->connected || link->out->len + frame->len > BACKLOG_MAX_BYTES)
-                continue;
-            g_string_append_len(link->out, frame->str, (gssize)frame->len);
-            flush(link);
-        }
+        for (guint i = 0; i < links->out->len; i++)
+            send_frame(g_ptr_array_index(links->out, i), frame);
+    } else {
+        g_warning("a message of kind %d to the other controllers is too large and is not sent",
+                  message->kind);
     }
     g_string_free(frame, TRUE);
 }
--- a/src/wire/peer.x
+++ b/src/wire/peer.x
@@ -49,6 +49,18 @@
     peer_machine machines<PEER_MACHINES_MAX>;
 };
 
+/* A list of machines that is too long for one message comes in parts, one right after the other. None is of use
+ * alone: earlier versions would take it for the whole list, so it has a kind that they skip. */
+const PEER_PART_MACHINES_MAX = 1000;
+const PEER_PARTS_MAX = 1000;
+
+struct peer_machines_part {
+    unsigned hyper token;
+    unsigned int part;        /* from 0 */
+    unsigned int part_count;
+    peer_machine machines<PEER_PART_MACHINES_MAX>;
+};
+
 /* "This job's cancellation is committed": whoever leads acknowledges it, and need not read it anywhere. */
 struct peer_cancellation {
     string job<PEER_NAME_MAX>;
@@ -71,7 +83,8 @@
     PEER_JOB_CHANGED = 3,
     PEER_MACHINES = 4,
     PEER_CANCELLATION = 5,
-    PEER_CANCELLATION_ACK = 6
+    PEER_CANCELLATION_ACK = 6,
+    PEER_MACHINES_PART = 7
 };
 
 struct peer_envelope {
--- a/src/wire/peer_xdr.c
+++ b/src/wire/peer_xdr.c
@@ -11,6 +11,7 @@
     peer_summary summary;
     peer_job_changed job_changed;
     peer_machines machines;
+    peer_machines_part machines_part;
     peer_cancellation cancellation;
     peer_cancellation_ack cancellation_ack;
 };
@@ -26,6 +27,8 @@
         return (xdrproc_t)xdr_peer_job_changed;
     case PEER_MACHINES:
         return (xdrproc_t)xdr_peer_machines;
+    case PEER_MACHINES_PART:
+        return (xdrproc_t)xdr_peer_machines_part;
     case PEER_CANCELLATION:
         return (xdrproc_t)xdr_peer_cancellation;
     case PEER_CANCELLATION_ACK:
@@ -35,30 +38,27 @@
     }
 }
 
-static void fill_summary(const struct ow_peer_message *m, peer_summary *s)
+/* The jobs of a summary; the caller frees the array, but not its texts. */
+static peer_job *fill_jobs(const GArray *jobs)
 {
-    guint count = MIN(m->jobs->len, PEER_JOBS_MAX);
-    s->token = m->number;
-    s->jobs.jobs_len = count;
-    s->jobs.jobs_val = g_new0(peer_job, count);
-    for (guint i = 0; i < count; i++) {
-        struct ow_peer_job *job = &g_array_index(m->jobs, struct ow_peer_job, i);
-        static char none[] = "";
-        s->jobs.jobs_val[i] =
-            (peer_job){job->id, job->done, job->running, job->reason != NULL ? job->reason : none};
+    static char none[] = "";
+    peer_job *filled = g_new0(peer_job, jobs->len);
+    for (guint i = 0; i < jobs->len; i++) {
+        struct ow_peer_job *job = &g_array_index(jobs, struct ow_peer_job, i);
+        filled[i] = (peer_job){job->id, job->done, job->running, job->reason != NULL ? job->reason : none};
     }
+    return filled;
 }
 
-static void fill_machines(const struct ow_peer_message *m, peer_machines *p)
+/* The same of a list of machines. */
+static peer_machine *fill_machines(const GArray *machines)
 {
-    guint count = MIN(m->machines->len, PEER_MACHINES_MAX);
-    p->token = m->number;
-    p->machines.machines_len = count;
-    p->machines.machines_val = g_new0(peer_machine, count);
-    for (guint i = 0; i < count; i++) {
-        struct ow_peer_machine *h = &g_array_index(m->machines, struct ow_peer_machine, i);
-        p->machines.machines_val[i] = (peer_machine){h->name, h->addr, h->type, h->zone, h->spot};
+    peer_machine *filled = g_new0(peer_machine, machines->len);
+    for (guint i = 0; i < machines->len; i++) {
+        struct ow_peer_machine *machine = &g_array_index(machines, struct ow_peer_machine, i);
+        filled[i] = (peer_machine){machine->name, machine->addr, machine->type, machine->zone, machine->spot};
     }
+    return filled;
 }
 
 /* Answers with a list that the caller frees, or NULL. */
@@ -69,14 +69,18 @@
         b->hello = (peer_hello){m->sender, m->number, m->leads, m->state_ok, m->receives_reports};
         return NULL;
     case OW_PEER_SUMMARY:
-        fill_summary(m, &b->summary);
+        b->summary = (peer_summary){m->number, {m->jobs->len, fill_jobs(m->jobs)}};
         return b->summary.jobs.jobs_val;
     case OW_PEER_JOB_CHANGED:
         b->job_changed.revision = m->number;
         return NULL;
     case OW_PEER_MACHINES:
-        fill_machines(m, &b->machines);
+        b->machines = (peer_machines){m->number, {m->machines->len, fill_machines(m->machines)}};
         return b->machines.machines.machines_val;
+    case OW_PEER_MACHINES_PART:
+        b->machines_part = (peer_machines_part){
+            m->number, m->part, m->part_count, {m->machines->len, fill_machines(m->machines)}};
+        return b->machines_part.machines.machines_val;
     case OW_PEER_CANCELLATION:
         b->cancellation = (peer_cancellation){m->job, m->revision, m->number};
         return NULL;
@@ -140,17 +144,25 @@
     }
 }
 
-static void read_machines(const peer_machines *p, struct ow_peer_message *m)
+static void read_machines(const peer_machine *machines, u_int count, struct ow_peer_message *m)
 {
-    m->number = p->token;
-    for (u_int i = 0; i < p->machines.machines_len; i++) {
-        const peer_machine *x = &p->machines.machines_val[i];
-        struct ow_peer_machine h = {g_strdup(x->name), g_strdup(x->addr), g_strdup(x->type),
-                                    g_strdup(x->zone), x->spot};
-        g_array_append_val(m->machines, h);
+    for (u_int i = 0; i < count; i++) {
+        const peer_machine *machine = &machines[i];
+        struct ow_peer_machine hint = {g_strdup(machine->name), g_strdup(machine->addr),
+                                       g_strdup(machine->type), g_strdup(machine->zone), machine->spot};
+        g_array_append_val(m->machines, hint);
     }
 }
 
+static void read_machines_part(const peer_machines_part *part, struct ow_peer_message *m)
+{
+    m->number = part->token;
+    m->part = part->part;
+    /* A list of more parts than there may be is none: its parts are dropped one by one. */
+    m->part_count = part->part_count <= PEER_PARTS_MAX ? part->part_count : 0;
+    read_machines(part->machines.machines_val, part->machines.machines_len, m);
+}
+
 static struct ow_peer_message *read_body(unsigned kind, const union body *b)
 {
     struct ow_peer_message *m = ow_peer_message_new((enum ow_peer_kind)kind);
@@ -169,7 +181,11 @@
         m->number = b->job_changed.revision;
         break;
     case OW_PEER_MACHINES:
-        read_machines(&b->machines, m);
+        m->number = b->machines.token;
+        read_machines(b->machines.machines.machines_val, b->machines.machines.machines_len, m);
+        break;
+    case OW_PEER_MACHINES_PART:
+        read_machines_part(&b->machines_part, m);
         break;
     case OW_PEER_CANCELLATION:
         g_strlcpy(m->job, b->cancellation.job, sizeof m->job);
--- a/src/wire/records_json.c
+++ b/src/wire/records_json.c
@@ -172,6 +172,7 @@
     out->last_attempt = 0;
     out->done = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     out->live = g_array_new(FALSE, FALSE, sizeof(struct ow_live_record));
+    out->machine_names = g_ptr_array_new_with_free_func(g_free);
     wj_string(value, F_DONE, &done);
     bool ok = wj_count(value, F_LAST, &out->last_attempt) && parse_done(done, out->done);
     const char *place;
@@ -183,10 +184,9 @@
             ok = false;
             continue;
         }
-        /* Interned: the key holds the session behind the name, and names are few. */
-        char *name = g_strndup(place, (gsize)(space - place));
-        const char *machine = g_intern_string(name);
-        g_free(name);
+        /* The key holds the session behind the name. */
+        char *machine = g_strndup(place, (gsize)(space - place));
+        g_ptr_array_add(out->machine_names, machine);
         ok = parse_place(machine, strtoull(space + 1, NULL, 10), json_string_value(tasks), out->live) && ok;
     }
     return ok;
@@ -196,6 +196,8 @@
 {
     g_array_free(record->done, TRUE);
     g_array_free(record->live, TRUE);
+    if (record->machine_names != NULL)
+        g_ptr_array_free(record->machine_names, TRUE);
 }
 
 void wire_progress_value_add(GString *text, const char *job, uint32_t chunk, uint32_t tasks,
--- a/src/wire/records_json.h
+++ b/src/wire/records_json.h
@@ -15,7 +15,7 @@
 
 /* What is done, and which attempts may exist, of the tasks of one chunk. */
 char *wire_progress_record(const struct ow_progress_record *record);
-/* False if it can't be read in full; *out then holds what could be. Machine names are interned and stay. */
+/* False if it can't be read in full; *out then holds what could be. */
 bool wire_progress_record_parse(const struct json_t *value, struct ow_progress_record *out);
 /* Frees what it holds. */
 void wire_progress_record_clear(struct ow_progress_record *record);
--- /dev/null
+++ b/tests/test_deadlines.c
@@ -0,0 +1,106 @@
+/* Deadlines: who can still meet one goes before who can't, and nobody starves for it. */
+#include "check.h"
+#include "world.h"
+
+enum { MACHINE_CPUS = 16 };
+
+static struct ow_submission *array_with_deadline(int n, double estimate_s, double deadline_s)
+{
+    char id[16];
+    g_snprintf(id, sizeof id, "run-%d", n);
+    struct ow_submission *submission = world_job(id, 1, MACHINE_CPUS);
+    submission->estimate_s = estimate_s;
+    submission->deadline_s = deadline_s;
+    return submission;
+}
+
+/* A single machine that is busy for `seconds`. */
+static struct world *busy_world(double seconds)
+{
+    struct world *w = world_with_one_controller_and_machines(1);
+    w->run_s = seconds;
+    world_start_job(w, array_with_deadline(1, 5, 0));
+    return w;
+}
+
+static void test_feasible_deadline_goes_before_a_missed_one(void **state)
+{
+    (void)state;
+    struct world *w = busy_world(20);
+    world_submit(w, 0, array_with_deadline(2, 20, 15)); /* it would take until 20 s after its submission */
+    world_run(w, 1);
+    world_submit(w, 0, array_with_deadline(3, 20, 90));
+    assert_true(world_until(w, 40, world_some_running, "run-3"));
+    assert_int_equal(world_running(w, "run-2"), 0);
+    assert_true(world_until(w, 60, world_all_done, "run-2"));
+    world_finish(w);
+}
+
+/* Without the missed deadline the order is that of arrival. */
+static void test_no_deadline_changes_nothing(void **state)
+{
+    (void)state;
+    struct world *w = busy_world(20);
+    world_submit(w, 0, array_with_deadline(2, 20, 0));
+    world_run(w, 1);
+    world_submit(w, 0, array_with_deadline(3, 20, 0));
+    assert_true(world_until(w, 40, world_some_running, "run-2"));
+    assert_int_equal(world_running(w, "run-3"), 0);
+    world_finish(w);
+}
+
+/* Of two that can be in time, the one with less work passes the one that can wait for it. */
+static void test_short_job_passes_one_that_can_wait(void **state)
+{
+    (void)state;
+    struct world *w = busy_world(20);
+    world_submit(w, 0, array_with_deadline(2, 40, 2000));
+    world_run(w, 1);
+    world_submit(w, 0, array_with_deadline(3, 5, 100));
+    assert_true(world_until(w, 40, world_some_running, "run-3"));
+    assert_int_equal(world_running(w, "run-2"), 0);
+    world_finish(w);
+}
+
+/* Submits a job with a deadline that it can meet every eight seconds, each of which takes the machine for
+ * ten, until the job runs; returns whether it does in time. */
+static bool starts_among_feasible_ones(struct world *w, const char *id, double seconds)
+{
+    w->run_s = 10;
+    double end = w->now + seconds;
+    for (int n = 100; w->now < end && world_running(w, id) == 0; n++) {
+        world_submit(w, 0, array_with_deadline(n, 5, 1000));
+        world_run(w, 8);
+    }
+    return world_running(w, id) > 0;
+}
+
+static void test_overdue_job_starts_in_the_end(void **state)
+{
+    (void)state;
+    struct world *w = busy_world(20);
+    world_submit(w, 0, array_with_deadline(2, 30, 10));
+    assert_true(starts_among_feasible_ones(w, "run-2", 240));
+    world_finish(w);
+}
+
+static void test_job_with_a_far_deadline_starts_in_the_end(void **state)
+{
+    (void)state;
+    struct world *w = busy_world(20);
+    world_submit(w, 0, array_with_deadline(2, 1000, 1e9));
+    assert_true(starts_among_feasible_ones(w, "run-2", 240));
+    world_finish(w);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_feasible_deadline_goes_before_a_missed_one),
+        cmocka_unit_test(test_no_deadline_changes_nothing),
+        cmocka_unit_test(test_short_job_passes_one_that_can_wait),
+        cmocka_unit_test(test_overdue_job_starts_in_the_end),
+        cmocka_unit_test(test_job_with_a_far_deadline_starts_in_the_end),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -23,7 +23,7 @@
 {
     (void)state;
     struct ow_progress_record record = {9, g_array_new(FALSE, FALSE, sizeof(uint32_t)),
-                                        g_array_new(FALSE, FALSE, sizeof(struct ow_live_record))};
+                                        g_array_new(FALSE, FALSE, sizeof(struct ow_live_record)), NULL};
     for (uint32_t task = 0; task < 40; task += task == 5 ? 10 : 1)
         g_array_append_val(record.done, task);
     add_live(record.live, 6, 9, "n-1", 1);
@@ -56,7 +56,7 @@
 {
     (void)state;
     struct ow_progress_record record = {UINT64_C(1) << 40, g_array_new(FALSE, FALSE, sizeof(uint32_t)),
-                                        g_array_new(FALSE, FALSE, sizeof(struct ow_live_record))};
+                                        g_array_new(FALSE, FALSE, sizeof(struct ow_live_record)), NULL};
     /* Every task runs on a different machine. */
     for (uint32_t task = 99000; task < 99000 + OW_CHUNK_TASKS; task++) {
         char name[16];
