Deadlines decide the queue; classes that have gone quiet keep no machines

Now a job that can still meet its deadline goes before one that can't, shorter work passes longer as far as the longer one's deadline allows (300 s at most), and the deadline shortens what a job may wait in renting, image waits, GPU reserve and claims. A missed deadline never stops promotion: nobody starves.

A class without a job for six of its mean intervals (30 s at least) needs what it runs and no more.

--- a/src/core/api/submit.c
+++ b/src/core/api/submit.c
@@ -65,8 +65,9 @@
 {
     char id[OW_ID_MAX + 1];
     g_strlcpy(id, submission->id, sizeof id);
-    g_info("job %s accepted: class %s, team %s, %u tasks", id, submission->class_name, submission->team,
-           submission->tasks);
+    g_info("job %s accepted: class %s, team %s, %u tasks, estimate %.0f s, deadline %.0f s", id,
+           submission->class_name, submission->team, submission->tasks, submission->estimate_s,
+           submission->deadline_s);
     ow_jobs_apply(controller->jobs, id, revision, OW_JOB_QUEUED, submission, controller->now, 0);
     ow_job_answer(controller, request, 201, ow_jobs_find(controller->jobs, id));
     ow_controller_announce_job_change(controller, revision);
--- a/src/core/machines/headroom.c
+++ b/src/core/machines/headroom.c
@@ -84,7 +84,7 @@
             continue;
         const struct ow_machine_type *type = ow_machine_spec(leader, &candidate.machine);
         const struct ow_class *class = ow_class_of(leader->controller, (int)i);
-        if (!is_tight(leader, (int)i, type))
+        if (!is_tight(leader, (int)i, type) || ow_class_is_quiet(leader->controller, (int)i))
             continue;
         /* What it used lately and some more. */
         double wanted = peak + MAX(class->largest, HEADROOM_SHARE * peak);
@@ -106,15 +106,25 @@
     double wanted, there;
 };
 
-/* An improper machine is kept only for what the class really had running lately. */
+/* Slots that a class needs: what it used lately and some more. An improper machine is kept only for what the
+   class really had running lately; for a class that is quiet only what it runs now counts, or machines would
+   be kept idle for long after its last job. */
+static double slots_wanted(struct ow_leader *leader, int class_index, bool proper)
+{
+    const struct ow_class *class = ow_class_of(leader->controller, class_index);
+    const struct ow_run *sample = NULL;
+    if (ow_class_is_quiet(leader->controller, class_index))
+        return class_tasks(leader, class_index, &sample);
+    return proper ? class->peak * (1 + HEADROOM_SHARE) + class->largest : class->peak;
+}
+
 static GArray *class_needs(struct ow_leader *leader)
 {
     GArray *needs = g_array_new(FALSE, FALSE, sizeof(struct need));
     for (guint i = 0; i < leader->controller->classes->len; i++) {
         const struct ow_class *class = ow_class_of(leader->controller, (int)i);
         for (int proper = 0; class->seen && proper < 2; proper++) {
-            struct need need = {class, (int)i, proper != 0,
-                                proper ? class->peak * (1 + HEADROOM_SHARE) + class->largest : class->peak,
+            struct need need = {class, (int)i, proper != 0, slots_wanted(leader, (int)i, proper != 0),
                                 slots_there(leader, class, proper, NULL)};
             g_array_append_val(needs, need);
         }
--- a/src/core/machines/rent.c
+++ b/src/core/machines/rent.c
@@ -8,6 +8,7 @@
 #include "core/machines/rental_options.h"
 #include "core/run.h"
 #include "core/scheduling/classes.h"
+#include "core/scheduling/deadline.h"
 #include "core/scheduling/placement.h"
 #include "core/scheduling/placement_cost.h"
 #include "core/scheduling/queue.h"
@@ -156,8 +157,7 @@
     /* Until the first of the places there is free, and then the work ahead. */
     double waits = (*work + run_s * (gpu ? need->gpus : need->cpus)) / there;
     *waits_out = waits;
-    double slack = ow_class_slack_s(leader->controller, spec->class_index) -
-                   (leader->controller->now - run->accepted_at);
+    double slack = ow_deadline_slack_s(leader, run) - (leader->controller->now - run->accepted_at);
     return waits < PATIENCE * slack;
 }
 
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -4,6 +4,7 @@
 #include "core/records/record_values.h"
 #include "core/records/recorder.h"
 #include "core/scheduling/classes.h"
+#include "core/scheduling/deadline.h"
 #include "core/scheduling/reservation.h"
 #include "core/teams.h"
 
@@ -14,7 +15,7 @@
 bool ow_run_claims(const struct ow_leader *leader, const struct ow_run *run)
 {
     const struct ow_spec *spec = run->job->spec;
-    double patience_s = CLAIM_SHARE * ow_class_slack_s(leader->controller, spec->class_index);
+    double patience_s = CLAIM_SHARE * ow_deadline_slack_s(leader, run);
     if (!leader->teams.entitled[spec->team])
         return false;
     if (!ow_team_covers(leader, spec->team, &spec->submission->need))
@@ -44,7 +45,7 @@
     run->attempts = g_ptr_array_new();
     ow_run_divide(run, ow_record_values_chunk_tasks(leader));
     run->bad_machines = g_hash_table_new(NULL, NULL);
-    ow_class_observe_job(leader->controller, job->spec);
+    ow_class_observe_job(leader->controller, job->spec, job->accepted_at);
     job->run = run;
     g_ptr_array_add(leader->runs, run);
     leader->pass.due = true;
--- a/src/core/scheduling/array_start.c
+++ b/src/core/scheduling/array_start.c
@@ -6,6 +6,7 @@
 #include "core/run.h"
 #include "core/scheduling/candidates.h"
 #include "core/scheduling/classes.h"
+#include "core/scheduling/deadline.h"
 #include "core/scheduling/image_demand.h"
 #include "core/scheduling/placement.h"
 #include "core/teams.h"
@@ -63,7 +64,7 @@
     if (CLEARLY_LONGER * wait_s < fetch_s)
         return true;
     double waited_s = leader->controller->now - run->accepted_at + wait_s;
-    double slack_s = ow_class_slack_s(leader->controller, spec->class_index);
+    double slack_s = ow_deadline_slack_s(leader, run);
     if (wait_s < fetch_s && waited_s < slack_s)
         return true;
     /* A fetch that costs more than the work it serves is made only when the objectives need it, ... */
--- a/src/core/scheduling/classes.c
+++ b/src/core/scheduling/classes.c
@@ -2,6 +2,7 @@
 #include "core/scheduling/classes.h"
 
 #include "core/controller.h"
+#include "core/health.h"
 
 #include <math.h>
 #include <string.h>
@@ -17,6 +18,12 @@
 static const double NO_OBJECTIVE_SLACK_S = 80;
 /* Time constant with which the peak of a class decays. */
 static const double PEAK_DECAY_S = 150;
+/* Weight of the newest interval between two jobs of a class, and the interval assumed before the second. */
+static const double ARRIVAL_WEIGHT = 0.1;
+static const double ARRIVAL_INTERVAL_S = 20;
+/* A class is quiet when no job has come for so many mean intervals, and for so long. */
+static const double QUIET_INTERVALS = 6;
+static const double QUIET_LEAST_S = 30;
 /* The longer runs of a class take so many times its expected run time. */
 static const double LONGER_RUN = 1.5;
 
@@ -29,10 +36,26 @@
     return &g_array_index(controller->classes, struct ow_class, class_index);
 }
 
-void ow_class_observe_job(struct ow_controller *controller, const struct ow_spec *spec)
+/* At a take-over jobs come in any order: only a job newer than all before shows an interval. */
+static void observe_arrival(struct ow_class *class, double accepted_at)
+{
+    if (!class->seen) {
+        class->arrival_interval_s = ARRIVAL_INTERVAL_S;
+        class->last_arrival_at = accepted_at;
+        return;
+    }
+    if (accepted_at <= class->last_arrival_at)
+        return;
+    double interval_s = accepted_at - class->last_arrival_at;
+    class->arrival_interval_s += ARRIVAL_WEIGHT * (interval_s - class->arrival_interval_s);
+    class->last_arrival_at = accepted_at;
+}
+
+void ow_class_observe_job(struct ow_controller *controller, const struct ow_spec *spec, double accepted_at)
 {
     struct ow_class *class = ow_class_of(controller, spec->class_index);
     const struct ow_submission *submission = spec->submission;
+    observe_arrival(class, accepted_at);
     if (class->seen)
         class->estimate_s += ESTIMATE_WEIGHT * (submission->estimate_s - class->estimate_s);
     else
@@ -66,6 +89,16 @@
     return class->peak;
 }
 
+bool ow_class_is_quiet(struct ow_controller *controller, int class_index)
+{
+    const struct ow_class *class = ow_class_of(controller, class_index);
+    /* While the state service is away nothing can be accepted: that shows nothing of the class. */
+    if (class->service || !class->seen || !ow_health_state_is_ok(controller))
+        return false;
+    double limit_s = MAX(QUIET_LEAST_S, QUIET_INTERVALS * class->arrival_interval_s);
+    return controller->now - class->last_arrival_at > limit_s;
+}
+
 double ow_class_run_s(struct ow_controller *controller, const struct ow_spec *spec)
 {
     return spec->submission->estimate_s * ow_class_of(controller, spec->class_index)->ratio;
--- a/src/core/scheduling/classes.h
+++ b/src/core/scheduling/classes.h
@@ -15,17 +15,22 @@
     bool gang, spot, service;
     enum ow_rank rank;
     uint64_t types;
-    double peak, peak_at; /* tasks that ran or waited at once, decaying */
+    double peak, peak_at;      /* tasks that ran or waited at once, decaying */
+    double last_arrival_at;    /* when its newest job was accepted */
+    double arrival_interval_s; /* mean time between two jobs, as seen lately */
 };
 
 /* What is known of the class; valid until the next call. The list grows as class names come. */
 struct ow_class *ow_class_of(struct ow_controller *controller, int class_index);
 /* Takes in what a newly accepted job shows of its class. */
-void ow_class_observe_job(struct ow_controller *controller, const struct ow_spec *spec);
+void ow_class_observe_job(struct ow_controller *controller, const struct ow_spec *spec, double accepted_at);
 /* Takes in how long a task of the job ran, against its owner's estimate. */
 void ow_class_observe_run(struct ow_controller *controller, const struct ow_spec *spec, double ran_s);
 /* Takes in how many tasks of the class run or wait now; returns their decaying maximum. */
 double ow_class_peak(struct ow_controller *controller, int class_index, double tasks);
+/* Whether no job of the class has come for so long that hardly any more is to be expected soon. Never true of
+   services: their replicas need capacity as long as they live. */
+bool ow_class_is_quiet(struct ow_controller *controller, int class_index);
 /* How long a task of the job runs, the estimate corrected by the ratio of its class. */
 double ow_class_run_s(struct ow_controller *controller, const struct ow_spec *spec);
 /* How long a task of the class may wait for its start without missing an objective of its class. */
--- /dev/null
+++ b/src/core/scheduling/deadline.c
@@ -0,0 +1,51 @@
+/* Deadlines of jobs. */
+#include "core/scheduling/deadline.h"
+#include "core/leader_state.h"
+#include "core/scheduling/classes.h"
+
+#include <math.h>
+
+/* Estimates are often wrong. A start counts as in time if the task may run for so many times what is
+ * expected, ... */
+static const double CAUTIOUS_RUN = 1.25;
+/* ... and a deadline is given up only when not even so many times that is left. */
+static const double HOPEFUL_RUN = 0.8;
+
+bool ow_deadline_is_set(const struct ow_run *run)
+{
+    return run->job->spec->submission->deadline_s > 0;
+}
+
+/* Seconds until the deadline; negative once it has passed. */
+static double seconds_left(const struct ow_leader *leader, const struct ow_run *run)
+{
+    double age_s = leader->controller->now - run->accepted_at;
+    return run->job->spec->submission->deadline_s - age_s;
+}
+
+bool ow_deadline_is_missed(const struct ow_leader *leader, const struct ow_run *run)
+{
+    if (!ow_deadline_is_set(run))
+        return false;
+    double run_s = ow_class_run_s(leader->controller, run->job->spec);
+    return seconds_left(leader, run) < HOPEFUL_RUN * run_s;
+}
+
+bool ow_deadline_is_feasible(const struct ow_leader *leader, const struct ow_run *run)
+{
+    return ow_deadline_is_set(run) && !ow_deadline_is_missed(leader, run);
+}
+
+double ow_deadline_latest_start_s(const struct ow_leader *leader, const struct ow_run *run)
+{
+    const struct ow_spec *spec = run->job->spec;
+    if (!ow_deadline_is_set(run))
+        return INFINITY;
+    return MAX(0, spec->submission->deadline_s - CAUTIOUS_RUN * ow_class_run_s(leader->controller, spec));
+}
+
+double ow_deadline_slack_s(const struct ow_leader *leader, const struct ow_run *run)
+{
+    double class_slack_s = ow_class_slack_s(leader->controller, run->job->spec->class_index);
+    return MIN(ow_deadline_latest_start_s(leader, run), class_slack_s);
+}
--- /dev/null
+++ b/src/core/scheduling/deadline.h
@@ -0,0 +1,23 @@
+/* Deadlines of jobs: how long their tasks may wait, and whether they can still be met.
+ *
+ * A deadline is the owner's, measured from the job's acceptance; most jobs have none. Run times are
+ * estimates, corrected by what was seen of the class. */
+#ifndef OW_CORE_SCHEDULING_DEADLINE_H
+#define OW_CORE_SCHEDULING_DEADLINE_H
+
+#include "core/run.h"
+
+/* Whether the job was submitted with a deadline. */
+bool ow_deadline_is_set(const struct ow_run *run);
+/* Whether the job has a deadline that it can still meet if its waiting tasks start at once. */
+bool ow_deadline_is_feasible(const struct ow_leader *leader, const struct ow_run *run);
+/* Whether the job has a deadline that it can't meet any more. */
+bool ow_deadline_is_missed(const struct ow_leader *leader, const struct ow_run *run);
+/* How long after its acceptance a task of the run may start without the job missing its deadline; INFINITY
+   without one. */
+double ow_deadline_latest_start_s(const struct ow_leader *leader, const struct ow_run *run);
+/* The same for the deadline and for the objectives of its class. Without either it is the slack of a class
+   without objectives. */
+double ow_deadline_slack_s(const struct ow_leader *leader, const struct ow_run *run);
+
+#endif
--- a/src/core/scheduling/gpu_reserve.c
+++ b/src/core/scheduling/gpu_reserve.c
@@ -5,6 +5,7 @@
 #include "core/machines/machine_registry.h"
 #include "core/run.h"
 #include "core/scheduling/classes.h"
+#include "core/scheduling/deadline.h"
 #include "core/scheduling/image_demand.h"
 
 /* What is kept for GPU jobs as a multiple of what they need now. */
@@ -27,7 +28,7 @@
     double gpus = (run->count - run->done) * spec->submission->need.gpus;
     if (gpus <= 0 || ow_job_over(run->job))
         return 0;
-    double slack_s = MAX(ow_class_slack_s(leader->controller, spec->class_index), 1);
+    double slack_s = MAX(ow_deadline_slack_s(leader, run), 1);
     double fetch_s = FETCH_SHARE * ow_image_slowest_fetch_seconds(leader, spec);
     double task_s = ow_class_run_s(leader->controller, spec) + fetch_s;
     return gpus * MIN(1, task_s / slack_s);
--- a/src/core/scheduling/queue.c
+++ b/src/core/scheduling/queue.c
@@ -4,6 +4,7 @@
 #include "core/machines/machine.h"
 #include "core/machines/machine_registry.h"
 #include "core/scheduling/classes.h"
+#include "core/scheduling/deadline.h"
 #include "core/scheduling/image_demand.h"
 #include "core/teams.h"
 
@@ -11,6 +12,11 @@
 static const double SIZE_WEIGHT = 5;
 /* Nobody starves: the size of an array delays it no longer than this. */
 static const double SIZE_DELAY_LIMIT_S = 60;
+/* The size of an array with a deadline counts so many times as much, for its deadline bounds the delay. */
+static const double DEADLINE_SIZE_WEIGHT = 3;
+/* However far away its deadline is, a job is passed on its account for no longer than this: nobody starves.
+ */
+static const double DEADLINE_DELAY_LIMIT_S = 300;
 /* A job of which nothing has started for so long is promoted to the front of the queue. Nothing is stopped
    for that, nor what it then starts for others. */
 static const double PROMOTION_S = 120;
@@ -103,7 +109,8 @@
 }
 
 /* An array's queue time is its arrival, delayed by the time that its waiting work needs of the whole fleet: a
-   short one passes a long one, and each is reached in the end. A gang keeps its place. */
+   short one passes a long one, and each is reached in the end. One with a deadline can be passed for as long
+   as the deadline allows. A gang keeps its place. */
 static double queue_time(struct ow_leader *leader, const struct ow_run *run,
                          const struct fleet_capacity *capacity)
 {
@@ -112,6 +119,10 @@
         return run->accepted_at;
     double share = fleet_share(&spec->submission->need, capacity);
     double delay = SIZE_WEIGHT * ow_run_pending(run) * ow_class_run_s(leader->controller, spec) * share;
+    if (ow_deadline_is_set(run)) {
+        double limit_s = MIN(ow_deadline_latest_start_s(leader, run), DEADLINE_DELAY_LIMIT_S);
+        return run->accepted_at + MIN(DEADLINE_SIZE_WEIGHT * delay, limit_s);
+    }
     return run->accepted_at + MIN(delay, SIZE_DELAY_LIMIT_S);
 }
 
@@ -131,7 +142,8 @@
         return;
     }
     run->starves = run->attempts->len == 0 && run->done == 0 && age > patience;
-    run->aged = age > AGED_S;
+    /* Its owner does not expect a job with a deadline before it: until then others may pass it. */
+    run->aged = age > AGED_S + MIN(run->job->spec->submission->deadline_s, DEADLINE_DELAY_LIMIT_S);
 }
 
 static unsigned missed_objectives(struct ow_leader *leader, const struct ow_run *run)
@@ -143,7 +155,8 @@
     /* Of those that starve, who can still begin in time goes first: where all wait too long, nobody would. */
     if (run->starves)
         return age < BEGIN_S ? 0 : 1;
-    return ow_class_missed(leader->controller, run->job->spec->class_index, age);
+    unsigned missed = ow_class_missed(leader->controller, run->job->spec->class_index, age);
+    return missed + (ow_deadline_is_missed(leader, run) ? 1 : 0);
 }
 
 /* Updates since when a task of the run waits; returns whether the run belongs in the queue. */
