Gangs take their turn in time; deadlines count in preemption and for spot machines

Now the first gang in the queue that has used a quarter of an objective for its start keeps what it holds, if all that waits of its class can start in the time that is left; where not all can be in time, small ones still go first.

Deadlines: work that can't be in time stops none that can; a deadline lost by a stop counts as 500 s; tasks with a deadline keep off spot machines as far as those are being taken back. Tests: test_starvation, test_deadlines, each seen to fail without.

--- a/src/core/leader_state.h
+++ b/src/core/leader_state.h
@@ -40,6 +40,7 @@
     GArray *image_demand; /* image_demand.c; by image */
     GArray *shortlists;   /* shortlist.c; by class */
     GArray *allowances;   /* reason.c */
+    bool turn_taken;      /* gang_turn.c: a gang keeps its holds to start in time */
     int gpu_rank;         /* the most urgent rank among open jobs that need GPUs */
     double gpu_cpus;      /* CPUs that a GPU needs to be of use, by the jobs that are open */
 };
@@ -67,6 +68,13 @@
     GHashTable *names; /* names of machines deleted, which lagging lists still show */
 };
 
+/* Notices of spot machines, and how long there were such machines, both fading: spot_risk.c. */
+struct ow_spot_risk {
+    double notices;
+    double machine_s;
+    double updated_at;
+};
+
 /* When leader.c does its periodic work next. */
 struct ow_leader_timers {
     double summary_at, hints_at; /* messages to the other controllers */
@@ -97,6 +105,7 @@
     struct ow_cloud_polling cloud;
     struct ow_renting renting;
     struct ow_deletions deletions;
+    struct ow_spot_risk spot_risk;
     struct ow_leader_timers periodic;
 };
 
--- a/src/core/machines/machine_health.c
+++ b/src/core/machines/machine_health.c
@@ -5,6 +5,7 @@
 #include "core/machines/fleet.h"
 #include "core/machines/machine.h"
 #include "core/machines/machine_registry.h"
+#include "core/machines/spot_risk.h"
 #include "core/machines/worker_commands.h"
 #include "core/run.h"
 #include "core/scheduling/service_moves.h"
@@ -197,6 +198,7 @@
     bool return_unresponsive = few_unresponsive(leader);
     bool return_silent = few_silent(leader);
     ow_service_moves_tick(leader);
+    ow_spot_risk_tick(leader);
     for (guint i = leader->machines->len; i > 0; i--) {
         if (i > leader->machines->len)
             continue;
--- a/src/core/machines/reports.c
+++ b/src/core/machines/reports.c
@@ -3,6 +3,7 @@
 #include "core/leader_state.h"
 #include "core/machines/machine.h"
 #include "core/machines/machine_registry.h"
+#include "core/machines/spot_risk.h"
 #include "core/machines/worker_commands.h"
 #include "core/records/recorder.h"
 #include "core/run.h"
@@ -173,6 +174,13 @@
     }
 }
 
+static void note_notice(struct ow_leader *leader, const struct ow_machine *machine, double notice_s)
+{
+    g_info("machine %s is taken back by the cloud in %.1f s", machine->name, notice_s);
+    if (machine->spot)
+        ow_spot_risk_note_notice(leader);
+}
+
 static void apply_reclaim_notice(struct ow_leader *leader, struct ow_machine *machine, double notice_s)
 {
     if (notice_s < 0) {
@@ -180,7 +188,7 @@
         return;
     }
     if (machine->reclaimed_at == 0)
-        g_info("machine %s is taken back by the cloud in %.1f s", machine->name, notice_s);
+        note_notice(leader, machine, notice_s);
     machine->reclaimed_at = leader->controller->now + notice_s;
 }
 
--- /dev/null
+++ b/src/core/machines/spot_risk.c
@@ -0,0 +1,40 @@
+/* How often the cloud takes spot machines back. */
+#include "core/machines/spot_risk.h"
+#include "core/leader_state.h"
+#include "core/machines/machine.h"
+
+#include <math.h>
+
+/* Time constant with which what was seen loses its weight. */
+static const double MEMORY_S = 180;
+/* What is assumed beside what was seen: one notice in so many machine seconds. */
+static const double ASSUMED_NOTICES = 1;
+static const double ASSUMED_MACHINE_S = 1800;
+
+void ow_spot_risk_note_notice(struct ow_leader *leader)
+{
+    leader->spot_risk.notices += 1;
+}
+
+void ow_spot_risk_tick(struct ow_leader *leader)
+{
+    struct ow_spot_risk *risk = &leader->spot_risk;
+    double now = leader->controller->now;
+    double passed_s = risk->updated_at > 0 ? now - risk->updated_at : 0;
+    double weight = exp(-passed_s / MEMORY_S);
+    unsigned machines = 0;
+    for (guint i = 0; i < leader->machines->len; i++) {
+        const struct ow_machine *machine = g_ptr_array_index(leader->machines, i);
+        machines += machine->spot && machine->last_message_at > 0 ? 1 : 0;
+    }
+    risk->notices *= weight;
+    risk->machine_s = risk->machine_s * weight + machines * passed_s;
+    risk->updated_at = now;
+}
+
+double ow_spot_risk_within(const struct ow_leader *leader, double seconds)
+{
+    const struct ow_spot_risk *risk = &leader->spot_risk;
+    double rate = (risk->notices + ASSUMED_NOTICES) / (risk->machine_s + ASSUMED_MACHINE_S);
+    return 1 - exp(-rate * MAX(0, seconds));
+}
--- /dev/null
+++ b/src/core/machines/spot_risk.h
@@ -0,0 +1,14 @@
+/* How often the cloud takes spot machines back, as seen lately. */
+#ifndef OW_CORE_MACHINES_SPOT_RISK_H
+#define OW_CORE_MACHINES_SPOT_RISK_H
+
+struct ow_leader;
+
+/* A spot machine has got notice. */
+void ow_spot_risk_note_notice(struct ow_leader *leader);
+/* Takes in how many spot machines there are; to be called a few times a second. */
+void ow_spot_risk_tick(struct ow_leader *leader);
+/* The probability that a spot machine is taken back within `seconds`. */
+double ow_spot_risk_within(const struct ow_leader *leader, double seconds);
+
+#endif
--- a/src/core/scheduling/array_preemption.c
+++ b/src/core/scheduling/array_preemption.c
@@ -21,7 +21,6 @@
 /* The zone where stopping less urgent work makes most capacity for tasks that must stay together. */
 static int best_zone_with_stops(struct ow_leader *leader, const struct ow_run *run, const GPtrArray *machines)
 {
-    const struct ow_spec *spec = run->job->spec;
     GArray *candidates = g_array_new(FALSE, FALSE, sizeof(struct ow_candidate));
     for (guint i = 0; i < machines->len; i++) {
         struct ow_machine *machine = g_ptr_array_index(machines, i);
@@ -29,7 +28,7 @@
             continue;
         struct ow_candidate candidate = {
             .machine = machine,
-            .slots = ow_preempt_slots(leader, spec, machine),
+            .slots = ow_preempt_slots(leader, run, machine),
         };
         g_array_append_val(candidates, candidate);
     }
@@ -63,7 +62,7 @@
                            uint32_t wanted)
 {
     const struct ow_spec *spec = run->job->spec;
-    uint32_t slots = MIN(wanted, ow_preempt_slots(leader, spec, machine));
+    uint32_t slots = MIN(wanted, ow_preempt_slots(leader, run, machine));
     if (slots == 0 || !ow_preempt_make_room(leader, run, machine, slots))
         return 0;
     ow_amounts_add(&machine->held, &spec->submission->need, slots);
--- a/src/core/scheduling/classes.c
+++ b/src/core/scheduling/classes.c
@@ -141,6 +141,21 @@
     return missed;
 }
 
+double ow_class_next_start_objective_s(struct ow_controller *controller, int class_index, double age_s)
+{
+    const char *name = ow_names_text(controller->names.classes, class_index);
+    double next_s = INFINITY;
+    for (guint i = 0; i < controller->settings->objectives->len; i++) {
+        const struct ow_objective *objective =
+            &g_array_index(controller->settings->objectives, struct ow_objective, i);
+        if (objective->kind != OW_OBJECTIVE_WAIT || strcmp(objective->class_name, name) != 0)
+            continue;
+        if (objective->within_s > age_s)
+            next_s = MIN(next_s, objective->within_s);
+    }
+    return next_s;
+}
+
 bool ow_class_has_objective(struct ow_controller *controller, int class_index)
 {
     if (ow_class_of(controller, class_index)->service)
--- a/src/core/scheduling/classes.h
+++ b/src/core/scheduling/classes.h
@@ -35,6 +35,9 @@
 double ow_class_run_s(struct ow_controller *controller, const struct ow_spec *spec);
 /* How long a task of the class may wait for its start without missing an objective of its class. */
 double ow_class_slack_s(struct ow_controller *controller, int class_index);
+/* The shortest objective for the start of a job of such an age that can still be met, in seconds from its
+   acceptance; INFINITY if there is none. */
+double ow_class_next_start_objective_s(struct ow_controller *controller, int class_index, double age_s);
 /* How many objectives for starting a job of such an age can no longer be met. */
 unsigned ow_class_missed(struct ow_controller *controller, int class_index, double age_s);
 /* Whether the settings state an objective for the class; services always have one. */
--- a/src/core/scheduling/deadline.c
+++ b/src/core/scheduling/deadline.c
@@ -31,9 +31,18 @@
     return seconds_left(leader, run) < HOPEFUL_RUN * run_s;
 }
 
-bool ow_deadline_is_feasible(const struct ow_leader *leader, const struct ow_run *run)
+bool ow_deadline_allows_delay(const struct ow_leader *leader, const struct ow_attempt *attempt,
+                              double delay_s)
 {
-    return ow_deadline_is_set(run) && !ow_deadline_is_missed(leader, run);
+    const struct ow_run *run = attempt->job->run;
+    double ran_s = attempt->running_at > 0 ? leader->controller->now - attempt->running_at : 0;
+    double remaining_s = MAX(0, ow_class_run_s(leader->controller, run->job->spec) - ran_s);
+    return seconds_left(leader, run) >= HOPEFUL_RUN * remaining_s + delay_s;
+}
+
+bool ow_deadline_is_kept(const struct ow_leader *leader, const struct ow_attempt *attempt)
+{
+    return ow_deadline_is_set(attempt->job->run) && ow_deadline_allows_delay(leader, attempt, 0);
 }
 
 double ow_deadline_latest_start_s(const struct ow_leader *leader, const struct ow_run *run)
--- a/src/core/scheduling/deadline.h
+++ b/src/core/scheduling/deadline.h
@@ -9,10 +9,13 @@
 
 /* Whether the job was submitted with a deadline. */
 bool ow_deadline_is_set(const struct ow_run *run);
-/* Whether the job has a deadline that it can still meet if its waiting tasks start at once. */
-bool ow_deadline_is_feasible(const struct ow_leader *leader, const struct ow_run *run);
 /* Whether the job has a deadline that it can't meet any more. */
 bool ow_deadline_is_missed(const struct ow_leader *leader, const struct ow_run *run);
+/* Whether the task's job has a deadline that the task will have kept, as it runs now. */
+bool ow_deadline_is_kept(const struct ow_leader *leader, const struct ow_attempt *attempt);
+/* Whether the task would still keep its job's deadline if it were `delay_s` seconds behind. */
+bool ow_deadline_allows_delay(const struct ow_leader *leader, const struct ow_attempt *attempt,
+                              double delay_s);
 /* How long after its acceptance a task of the run may start without the job missing its deadline; INFINITY
    without one. */
 double ow_deadline_latest_start_s(const struct ow_leader *leader, const struct ow_run *run);
--- a/src/core/scheduling/gang_selection.c
+++ b/src/core/scheduling/gang_selection.c
@@ -123,11 +123,11 @@
         struct ow_machine *machine = g_ptr_array_index(machines, i);
         if (!ow_placement_is_permitted(leader, run, machine))
             continue;
-        uint32_t slots = MIN(ow_preempt_slots(leader, spec, machine), run->count);
+        uint32_t slots = MIN(ow_preempt_slots(leader, run, machine), run->count);
         if (slots == 0)
             continue;
         double cost = ow_placement_cost(leader, run, machine);
-        cost += ow_preempt_loss(leader, spec, machine, slots);
+        cost += ow_preempt_loss(leader, run, machine, slots);
         struct ow_candidate candidate = {.machine = machine, .slots = slots, .cost = cost};
         insert_by_cost(candidates, &candidate);
     }
--- /dev/null
+++ b/src/core/scheduling/gang_turn.c
@@ -0,0 +1,53 @@
+/* Which short gang keeps its holds. */
+#include "core/scheduling/gang_turn.h"
+#include "core/leader_state.h"
+#include "core/scheduling/classes.h"
+#include "core/scheduling/image_demand.h"
+
+#include <math.h>
+
+/* The share of an objective for its start after which a gang no longer lets others pass. */
+static const double TURN_SHARE = 0.25;
+
+/* The gangs of a class: members that wait, and members that run or are about to. */
+struct class_members {
+    double waiting;
+    double placed;
+};
+
+static struct class_members count_members(const struct ow_leader *leader, int class_index)
+{
+    struct class_members members = {0};
+    for (guint i = 0; i < leader->runs->len; i++) {
+        const struct ow_run *run = g_ptr_array_index(leader->runs, i);
+        if (run->job->spec->class_index != class_index || ow_job_over(run->job))
+            continue;
+        members.placed += run->attempts->len;
+        members.waiting += ow_run_pending(run);
+    }
+    return members;
+}
+
+/* Whether everything that waits of the gang's class can start within `left_s`, as members that run end. */
+static bool is_backlog_short(struct ow_leader *leader, const struct ow_run *run, double left_s)
+{
+    const struct ow_spec *spec = run->job->spec;
+    struct class_members members = count_members(leader, spec->class_index);
+    double run_s = ow_class_run_s(leader->controller, spec);
+    return members.placed > 0 && members.waiting * run_s / members.placed < left_s;
+}
+
+/* Smaller gangs that fit pass a large one for as long as they come, and it would miss its objective although
+   there is capacity for all. Once a quarter of its time is over, the first such gang in the queue keeps what
+   it holds. Where not all can be in time, small ones still go first: more of them are. */
+bool ow_gang_turn_take(struct ow_leader *leader, const struct ow_run *run)
+{
+    const struct ow_spec *spec = run->job->spec;
+    double age_s = leader->controller->now - run->accepted_at;
+    double objective_s = ow_class_next_start_objective_s(leader->controller, spec->class_index, age_s);
+    if (leader->pass.turn_taken || objective_s == INFINITY || age_s < TURN_SHARE * objective_s)
+        return false;
+    double left_s = objective_s - age_s - ow_image_slowest_fetch_seconds(leader, spec);
+    leader->pass.turn_taken = is_backlog_short(leader, run, left_s);
+    return leader->pass.turn_taken;
+}
--- a/src/core/scheduling/placement_cost.c
+++ b/src/core/scheduling/placement_cost.c
@@ -3,7 +3,9 @@
 #include "core/leader_state.h"
 #include "core/machines/machine.h"
 #include "core/machines/machine_registry.h"
+#include "core/machines/spot_risk.h"
 #include "core/scheduling/classes.h"
+#include "core/scheduling/deadline.h"
 #include "core/scheduling/placement.h"
 
 /* Seconds that a job which needs no GPUs is worth waiting rather than taking a machine with GPUs. */
@@ -12,6 +14,8 @@
 static const double GANG_DEMAND_S = 15;
 /* Estimates are rough: only a machine so many times slower than expected counts as slow. */
 static const double SLOWNESS_TOLERANCE = 1.7;
+/* What missing a deadline counts, in seconds. */
+static const double DEADLINE_LOSS_S = 100;
 /* Work without objectives goes on expensive machines only after it has waited so long for cheap ones. */
 static const double CHEAP_WAIT_S = 120;
 
@@ -48,6 +52,20 @@
     return false;
 }
 
+/* Seconds that a task with a deadline is expected to lose on a spot machine. Without one it takes its
+ * chances. */
+static double spot_loss_s(const struct ow_leader *leader, const struct ow_run *run,
+                          const struct ow_machine *machine)
+{
+    if (!machine->spot || !ow_deadline_is_set(run) || ow_deadline_is_missed(leader, run))
+        return 0;
+    double run_s = ow_class_run_s(leader->controller, run->job->spec);
+    double age_s = leader->controller->now - run->accepted_at;
+    bool has_time_for_another = age_s + run_s <= ow_deadline_latest_start_s(leader, run);
+    double loss_s = run_s + (has_time_for_another ? 0 : DEADLINE_LOSS_S);
+    return ow_spot_risk_within(leader, run_s) * loss_s;
+}
+
 double ow_placement_cost(const struct ow_leader *leader, const struct ow_run *run,
                          const struct ow_machine *machine)
 {
@@ -61,6 +79,7 @@
         cost += GPU_WASTE_S;
     if (is_wanted_by_gangs(leader, spec, machine, type))
         cost += GANG_DEMAND_S;
+    cost += spot_loss_s(leader, run, machine);
     /* Rent, then the tightest fit. */
     cost += machine->spot ? type->spot_price : type->price;
     double cpus_left = type->size.cpus - machine->used.cpus - spec->submission->need.cpus;
--- a/src/core/scheduling/preempt.c
+++ b/src/core/scheduling/preempt.c
@@ -3,6 +3,7 @@
 #include "core/leader_state.h"
 #include "core/machines/machine.h"
 #include "core/run.h"
+#include "core/scheduling/deadline.h"
 #include "core/scheduling/placement.h"
 #include "core/teams.h"
 
@@ -12,15 +13,21 @@
 static const double GRACE_MARGIN_S = 2;
 /* The loss counted for each job that is affected: a job is late with its last task. */
 static const double JOB_LOSS_S = 500;
+/* The loss counted for a deadline that would be missed because of the stop. */
+static const double DEADLINE_LOSS_S = 500;
 
 /* Lower ranks may be stopped for higher ones. What another team runs beyond its guarantee may be stopped to
    give a team its own; we do so for work at least as urgent as what is stopped. */
-static bool may_stop(const struct ow_leader *leader, const struct ow_spec *spec,
+static bool may_stop(const struct ow_leader *leader, const struct ow_run *run,
                      const struct ow_attempt *attempt)
 {
+    const struct ow_spec *spec = run->job->spec;
     const struct ow_spec *other = attempt->job->spec;
     if (attempt->session != attempt->machine->session || attempt->not_preemptible)
         return false;
+    /* Who can't be in time any more takes nothing from who still can. */
+    if (ow_deadline_is_missed(leader, run) && ow_deadline_is_kept(leader, attempt))
+        return false;
     if (other->submission->rank > spec->submission->rank)
         return true;
     return other->submission->rank == spec->submission->rank && other->team != spec->team &&
@@ -30,7 +37,7 @@
 }
 
 /* Seconds of one task's work that stopping it now throws away. */
-static double loss_s(const struct ow_leader *leader, const struct ow_attempt *attempt)
+static double lost_work_s(const struct ow_leader *leader, const struct ow_attempt *attempt)
 {
     const struct ow_submission *submission = attempt->job->spec->submission;
     /* A fetch given up has to begin anew. */
@@ -40,6 +47,15 @@
     return submission->checkpoint_s > 0 ? MIN(ran, submission->save_s) : ran;
 }
 
+/* The same, and what its deadline is worth if that is lost as well. */
+static double loss_s(const struct ow_leader *leader, const struct ow_attempt *attempt)
+{
+    double work_s = lost_work_s(leader, attempt);
+    bool loses_deadline =
+        ow_deadline_is_kept(leader, attempt) && !ow_deadline_allows_delay(leader, attempt, work_s);
+    return work_s + (loses_deadline ? DEADLINE_LOSS_S : 0);
+}
+
 /* Slots for the job on the machine as they would be with some attempts gone. */
 static uint32_t slots_without(const struct ow_leader *leader, const struct ow_spec *spec,
                               const struct ow_machine *machine, const struct ow_amounts *gone)
@@ -72,16 +88,17 @@
     return slots_without(leader, spec, machine, &most);
 }
 
-uint32_t ow_preempt_slots(const struct ow_leader *leader, const struct ow_spec *spec,
+uint32_t ow_preempt_slots(const struct ow_leader *leader, const struct ow_run *run,
                           const struct ow_machine *machine)
 {
+    const struct ow_spec *spec = run->job->spec;
     struct ow_amounts gone = {0};
     /* Most machines are full of work that may not be stopped: for them the attempts are not visited. */
     if (ow_preempt_slots_upper_bound(leader, spec, machine, ow_preempt_top_rank(leader, spec)) == 0)
         return 0;
     for (guint i = 0; i < machine->attempts->len; i++) {
         const struct ow_attempt *attempt = g_ptr_array_index(machine->attempts, i);
-        if (attempt->stop || may_stop(leader, spec, attempt))
+        if (attempt->stop || may_stop(leader, run, attempt))
             add_need(&gone, attempt);
     }
     return slots_without(leader, spec, machine, &gone);
@@ -103,9 +120,10 @@
 
 /* The victims that free `slots` slots, or NULL if all of them don't; the caller frees the array. Work already
    being stopped comes first and costs nothing. */
-static GArray *choose_victims(const struct ow_leader *leader, const struct ow_spec *spec,
+static GArray *choose_victims(const struct ow_leader *leader, const struct ow_run *run,
                               const struct ow_machine *machine, uint32_t slots)
 {
+    const struct ow_spec *spec = run->job->spec;
     GArray *victims = g_array_new(FALSE, FALSE, sizeof(struct victim));
     struct ow_amounts gone = {0};
     for (guint i = 0; i < machine->attempts->len; i++) {
@@ -113,7 +131,7 @@
         struct victim victim = {attempt, loss_s(leader, attempt)};
         if (attempt->stop)
             add_need(&gone, attempt);
-        else if (may_stop(leader, spec, attempt))
+        else if (may_stop(leader, run, attempt))
             g_array_append_val(victims, victim);
     }
     g_array_sort(victims, compare_losses);
@@ -141,10 +159,10 @@
     return true;
 }
 
-double ow_preempt_loss(const struct ow_leader *leader, const struct ow_spec *spec,
+double ow_preempt_loss(const struct ow_leader *leader, const struct ow_run *run,
                        const struct ow_machine *machine, uint32_t slots)
 {
-    GArray *victims = choose_victims(leader, spec, machine, slots);
+    GArray *victims = choose_victims(leader, run, machine, slots);
     double loss = 0;
     if (victims == NULL)
         return INFINITY;
@@ -160,7 +178,7 @@
 bool ow_preempt_make_room(struct ow_leader *leader, const struct ow_run *run, struct ow_machine *machine,
                           uint32_t slots)
 {
-    GArray *victims = choose_victims(leader, run->job->spec, machine, slots);
+    GArray *victims = choose_victims(leader, run, machine, slots);
     if (victims == NULL)
         return false;
     char *why = g_strdup_printf("room for job %s", run->job->id);
--- a/src/core/scheduling/preempt.h
+++ b/src/core/scheduling/preempt.h
@@ -12,14 +12,14 @@
 uint32_t ow_preempt_slots_upper_bound(const struct ow_leader *leader, const struct ow_spec *spec,
                                       const struct ow_machine *machine, int from);
 /* Slots for the job on the machine if all work that may be stopped for it were gone. */
-uint32_t ow_preempt_slots(const struct ow_leader *leader, const struct ow_spec *spec,
+uint32_t ow_preempt_slots(const struct ow_leader *leader, const struct ow_run *run,
                           const struct ow_machine *machine);
 /* Stops the cheapest work there that frees capacity for `slots` tasks; false, and nothing is stopped, if none
    can. */
 bool ow_preempt_make_room(struct ow_leader *leader, const struct ow_run *run, struct ow_machine *machine,
                           uint32_t slots);
 /* The loss by freeing capacity for `slots` tasks there; INFINITY if that is impossible. */
-double ow_preempt_loss(const struct ow_leader *leader, const struct ow_spec *spec,
+double ow_preempt_loss(const struct ow_leader *leader, const struct ow_run *run,
                        const struct ow_machine *machine, uint32_t slots);
 
 #endif
--- a/src/core/scheduling/reservation.c
+++ b/src/core/scheduling/reservation.c
@@ -9,6 +9,7 @@
 #include "core/run.h"
 #include "core/scheduling/candidates.h"
 #include "core/scheduling/gang_selection.h"
+#include "core/scheduling/gang_turn.h"
 #include "core/scheduling/placement.h"
 #include "core/scheduling/preempt.h"
 #include "core/teams.h"
@@ -268,12 +269,12 @@
    is taken if there is no other, and a large gang would otherwise idle a zone while it fills. A gang alone
    may use what work is stopped for, and what it holds while it starves: smaller ones that starve would
    otherwise pass it for ever. */
-void ow_reservation_apply_holds(const struct ow_run *run)
+void ow_reservation_apply_holds(struct ow_leader *leader, const struct ow_run *run)
 {
     if (run->reservation == NULL)
         return;
     const struct ow_amounts *need = &run->job->spec->submission->need;
-    bool firm = run->reservation->stops || run->starves;
+    bool firm = run->reservation->stops || run->starves || ow_gang_turn_take(leader, run);
     for (guint i = 0; i < run->reservation->holds->len; i++) {
         const struct ow_hold *hold = &g_array_index(run->reservation->holds, struct ow_hold, i);
         if (!hold->picked)
--- a/src/core/scheduling/reservation.h
+++ b/src/core/scheduling/reservation.h
@@ -25,6 +25,6 @@
 /* Frees the reservation with its holds. `reservation` may be NULL. */
 void ow_reservation_free(struct ow_reservation *reservation);
 /* Subtracts the run's holds from the capacity that jobs behind it in the queue see. */
-void ow_reservation_apply_holds(const struct ow_run *run);
+void ow_reservation_apply_holds(struct ow_leader *leader, const struct ow_run *run);
 
 #endif
--- a/src/core/scheduling/schedule.c
+++ b/src/core/scheduling/schedule.c
@@ -105,6 +105,7 @@
     clear_held(leader);
     ow_shortlists_begin(leader);
     g_array_set_size(leader->pass.allowances, 0);
+    leader->pass.turn_taken = false;
 }
 
 /* Starts what can be started of the run, and holds or makes capacity for the rest. */
@@ -112,7 +113,7 @@
 {
     if (run->job->spec->submission->gang) {
         ow_reservation_try(leader, run);
-        ow_reservation_apply_holds(run);
+        ow_reservation_apply_holds(leader, run);
         return;
     }
     if (ow_run_is_service(run))
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -123,7 +123,8 @@
         ow_http_server_sweep(service->server, now);
         ow_peer_links_sweep(service->peers, now);
     }
-    /* Under load the answer to the renewal of the leader's lease must not wait behind thousands of reports. */
+    /* Under load the answer to the renewal of the leader's lease must not wait behind thousands of reports.
+     */
     if (ow_loop_is_saturated(service->loop))
         ow_http_client_read_from(service->client, service->settings->state);
     GPtrArray *effects = ow_core_run(service->core, now, (double)g_get_real_time() / G_USEC_PER_SEC);
--- a/tests/test_deadlines.c
+++ b/tests/test_deadlines.c
@@ -93,6 +93,56 @@
     world_finish(w);
 }
 
+/* Starts "run-1", which keeps its deadline, and submits urgent work beside it; returns whether run-1 runs on.
+ */
+static bool survives_urgent_work(double urgent_deadline_s)
+{
+    struct world *w = world_with_one_controller_and_machines(1);
+    w->run_s = 60;
+    world_start_settled_job(w, array_with_deadline(1, 60, 500));
+    struct ow_submission *urgent = array_with_deadline(2, 20, urgent_deadline_s);
+    urgent->rank = OW_RANK_URGENT;
+    world_submit(w, 0, urgent);
+    world_run(w, 15);
+    bool survives = world_running(w, "run-1") == 1;
+    world_finish(w);
+    return survives;
+}
+
+/* Work that can't be in time any more takes no machine from work that can. */
+static void test_missed_deadline_stops_no_work_that_is_in_time(void **state)
+{
+    (void)state;
+    assert_true(survives_urgent_work(5));
+    assert_false(survives_urgent_work(0));
+    assert_false(survives_urgent_work(300));
+}
+
+/* The machine that a job starts on, of a spot machine and an ordinary one, while others are taken back. */
+static const char *choice_under_notices(struct world *w, double deadline_s)
+{
+    world_add_group(w, "taken", 4, "east", true);
+    world_run(w, 6);
+    for (int i = 0; i < 4; i++)
+        world_machine_at(w, (guint)i)->notice_s = 1000;
+    world_add_machine(w, "spot", "big", "east", true);
+    world_add_machine(w, "ordinary", "big", "east", false);
+    world_run(w, 6);
+    w->run_s = 60;
+    return world_start_job(w, array_with_deadline(1, 60, deadline_s))->name;
+}
+
+static void test_deadline_keeps_off_spot_machines_that_are_taken_often(void **state)
+{
+    (void)state;
+    struct world *w = world_with_one_controller();
+    assert_string_equal(choice_under_notices(w, 100), "ordinary");
+    world_finish(w);
+    w = world_with_one_controller();
+    assert_string_equal(choice_under_notices(w, 0), "spot");
+    world_finish(w);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -101,6 +151,8 @@
         cmocka_unit_test(test_short_job_passes_one_that_can_wait),
         cmocka_unit_test(test_overdue_job_starts_in_the_end),
         cmocka_unit_test(test_job_with_a_far_deadline_starts_in_the_end),
+        cmocka_unit_test(test_missed_deadline_stops_no_work_that_is_in_time),
+        cmocka_unit_test(test_deadline_keeps_off_spot_machines_that_are_taken_often),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_starvation.c
+++ b/tests/test_starvation.c
@@ -83,6 +83,21 @@
     world_finish(w);
 }
 
+/* There is capacity for all within the objective, but small gangs that fit would pass the large one for as
+ * long as they come. */
+static void test_largest_gang_starts_within_its_objective(void **state)
+{
+    (void)state;
+    struct world *w = world_with_staggered_gangs();
+    static char class_name[] = "class";
+    struct ow_objective start = {
+        .kind = OW_OBJECTIVE_WAIT, .class_name = class_name, .within_s = 80, .share = 1};
+    g_array_append_val(w->settings[0].objectives, start);
+    world_submit(w, 0, numbered(1, 4, 16, true, OW_RANK_URGENT));
+    assert_true(starts_within(w, "run-1", 80, 2.6, small_gang, 100));
+    world_finish(w);
+}
+
 /* Under a load that starves all of them: the reservation of one does not pass to the next. */
 static void test_largest_gang_starts_among_starved_gangs(void **state)
 {
@@ -179,6 +194,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_largest_gang_starts_under_load),
+        cmocka_unit_test(test_largest_gang_starts_within_its_objective),
         cmocka_unit_test(test_largest_gang_starts_among_starved_gangs),
         cmocka_unit_test(test_new_gang_starts_among_starved_gangs),
         cmocka_unit_test(test_large_array_completes_under_load),
