--- a/src/core/leader_broadcast.c
+++ b/src/core/leader_broadcast.c
@@ -57,7 +57,9 @@
     GArray *machines = ow_peer_machines_new();
     for (guint i = 0; i < leader->machines->len; i++) {
         const struct ow_machine *machine = g_ptr_array_index(leader->machines, i);
-        if (machine->addr == NULL || machine->type < 0 || machine->deleting)
+        /* One that boots listens nowhere yet: a successor would take it for one that does not answer. */
+        bool listens = machine->last_message_at > 0;
+        if (!listens || machine->addr == NULL || machine->type < 0 || machine->deleting)
             continue;
         struct ow_peer_machine hint = {
             g_strdup(machine->name), g_strdup(machine->addr),
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -175,6 +175,28 @@
     world_free(w);
 }
 
+/* The successor of a leader whose fleet boots: it asks the machines that are up, and none of the others. */
+static void test_successor_does_not_ask_machines_that_boot(void **state)
+{
+    (void)state;
+    struct world *w = world_with_machines(2);
+    w->run_s = 200;
+    world_submit(w, 0, world_job("run-1", 2, 16)); /* machines with work are not returned as idle */
+    for (int i = 0; i < 3; i++) {
+        char name[16];
+        g_snprintf(name, sizeof name, "booting-%d", i);
+        world_add_machine(w, name, "big", "east", false)->up_at = w->now + 100;
+    }
+    world_run(w, 20); /* the cloud's list tells their addresses, and the leader its peers */
+    w->cloud_down = true;
+    w->directs = 0;
+    world_kill_controller(w, world_leader(w));
+    world_run(w, 10);
+    assert_true(world_leader(w) >= 0);
+    assert_int_equal(w->directs, 2);
+    world_finish(w);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -186,6 +208,7 @@
         cmocka_unit_test(test_no_launch_before_the_machine_reports_the_new_token),
         cmocka_unit_test(test_inherited_attempts_count_against_the_limit),
         cmocka_unit_test(test_higher_token_deposes_the_leader),
+        cmocka_unit_test(test_successor_does_not_ask_machines_that_boot),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
