Whole names in the messages, records and JSON of the wire

Parameters of one letter are named for what they are; the messages and records are the same byte for byte (tests/fixtures/production, test_wire and test_records pass unchanged).

--- a/src/config/settings_file.c
+++ b/src/config/settings_file.c
@@ -77,10 +77,10 @@
 
 static void peer_clear(void *item)
 {
-    struct ow_peer_settings *p = item;
-    g_free(p->node);
-    g_free(p->zone);
-    g_free(p->endpoint);
+    struct ow_peer_settings *peer = item;
+    g_free(peer->node);
+    g_free(peer->zone);
+    g_free(peer->endpoint);
 }
 
 static GArray *read_peers(struct reader *reader)
--- a/src/core/effects.c
+++ b/src/core/effects.c
@@ -7,11 +7,11 @@
 
 static void peer_machine_clear(void *item)
 {
-    struct ow_peer_machine *m = item;
-    g_free(m->name);
-    g_free(m->addr);
-    g_free(m->type);
-    g_free(m->zone);
+    struct ow_peer_machine *machine = item;
+    g_free(machine->name);
+    g_free(machine->addr);
+    g_free(machine->type);
+    g_free(machine->zone);
 }
 
 GArray *ow_peer_machines_new(void)
@@ -23,40 +23,40 @@
 
 struct ow_peer_message *ow_peer_message_new(enum ow_peer_kind kind)
 {
-    struct ow_peer_message *m = g_new0(struct ow_peer_message, 1);
-    m->kind = kind;
+    struct ow_peer_message *message = g_new0(struct ow_peer_message, 1);
+    message->kind = kind;
     if (kind == OW_PEER_SUMMARY) {
-        m->jobs = g_array_new(FALSE, TRUE, sizeof(struct ow_peer_job));
-        g_array_set_clear_func(m->jobs, peer_job_clear);
+        message->jobs = g_array_new(FALSE, TRUE, sizeof(struct ow_peer_job));
+        g_array_set_clear_func(message->jobs, peer_job_clear);
     } else if (kind == OW_PEER_MACHINES || kind == OW_PEER_MACHINES_PART) {
-        m->machines = ow_peer_machines_new();
+        message->machines = ow_peer_machines_new();
     }
-    return m;
+    return message;
 }
 
-void ow_peer_message_free(struct ow_peer_message *m)
+void ow_peer_message_free(struct ow_peer_message *message)
 {
-    if (m == NULL)
+    if (message == NULL)
         return;
-    g_free(m->sender);
-    if (m->jobs != NULL)
-        g_array_free(m->jobs, TRUE);
-    if (m->machines != NULL)
-        g_array_free(m->machines, TRUE);
-    g_free(m);
+    g_free(message->sender);
+    if (message->jobs != NULL)
+        g_array_free(message->jobs, TRUE);
+    if (message->machines != NULL)
+        g_array_free(message->machines, TRUE);
+    g_free(message);
 }
 
-void ow_cloud_request_free(struct ow_cloud_request *r)
+void ow_cloud_request_free(struct ow_cloud_request *request)
 {
-    if (r == NULL)
+    if (request == NULL)
         return;
-    g_free(r->after);
-    g_free(r->name);
-    g_free(r->type);
-    g_free(r->zone);
-    if (r->machines != NULL)
-        g_ptr_array_free(r->machines, TRUE);
-    g_free(r);
+    g_free(request->after);
+    g_free(request->name);
+    g_free(request->type);
+    g_free(request->zone);
+    if (request->machines != NULL)
+        g_ptr_array_free(request->machines, TRUE);
+    g_free(request);
 }
 
 void ow_cloud_reply_clear(struct ow_cloud_reply *reply)
@@ -68,27 +68,27 @@
     g_strfreev(reply->rented);
 }
 
-void ow_effect_free(void *effect)
+void ow_effect_free(void *item)
 {
-    struct ow_effect *e = effect;
-    g_free(e->text);
-    if (e->commands != NULL)
-        g_array_free(e->commands, TRUE);
-    if (e->teams != NULL)
-        g_array_free(e->teams, TRUE);
-    ow_store_request_free(e->store);
-    ow_cloud_request_free(e->cloud);
-    ow_peer_message_free(e->peer);
-    g_free(e);
+    struct ow_effect *effect = item;
+    g_free(effect->text);
+    if (effect->commands != NULL)
+        g_array_free(effect->commands, TRUE);
+    if (effect->teams != NULL)
+        g_array_free(effect->teams, TRUE);
+    ow_store_request_free(effect->store);
+    ow_cloud_request_free(effect->cloud);
+    ow_peer_message_free(effect->peer);
+    g_free(effect);
 }
 
-void ow_event_free(void *event)
+void ow_event_free(void *item)
 {
-    struct ow_event *c = event;
-    ow_report_free(c->report);
-    ow_submission_free(c->submission);
-    ow_store_reply_clear(&c->store);
-    ow_cloud_reply_clear(&c->cloud);
-    ow_peer_message_free(c->peer);
-    g_free(c);
+    struct ow_event *event = item;
+    ow_report_free(event->report);
+    ow_submission_free(event->submission);
+    ow_store_reply_clear(&event->store);
+    ow_cloud_reply_clear(&event->cloud);
+    ow_peer_message_free(event->peer);
+    g_free(event);
 }
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -102,7 +102,7 @@
     struct ow_peer_message *peer;
 };
 
-void ow_effect_free(void *effect);
+void ow_effect_free(void *item);
 void ow_cloud_request_free(struct ow_cloud_request *request);
 void ow_cloud_reply_clear(struct ow_cloud_reply *reply);
 
@@ -135,6 +135,6 @@
     struct ow_peer_message *peer;
 };
 
-void ow_event_free(void *event);
+void ow_event_free(void *item);
 
 #endif
--- a/src/core/store.c
+++ b/src/core/store.c
@@ -16,29 +16,29 @@
 
 struct ow_store_request *ow_store_request_new(enum ow_store_op op, const char *key)
 {
-    struct ow_store_request *r = g_new0(struct ow_store_request, 1);
-    r->op = op;
-    r->key = g_strdup(key);
+    struct ow_store_request *request = g_new0(struct ow_store_request, 1);
+    request->op = op;
+    request->key = g_strdup(key);
     if (op == OW_STORE_TXN) {
-        r->conditions = g_array_new(FALSE, FALSE, sizeof(struct ow_condition));
-        g_array_set_clear_func(r->conditions, condition_clear);
-        r->changes = g_array_new(FALSE, FALSE, sizeof(struct ow_change));
-        g_array_set_clear_func(r->changes, change_clear);
+        request->conditions = g_array_new(FALSE, FALSE, sizeof(struct ow_condition));
+        g_array_set_clear_func(request->conditions, condition_clear);
+        request->changes = g_array_new(FALSE, FALSE, sizeof(struct ow_change));
+        g_array_set_clear_func(request->changes, change_clear);
     }
-    return r;
+    return request;
 }
 
-void ow_store_request_free(struct ow_store_request *r)
+void ow_store_request_free(struct ow_store_request *request)
 {
-    if (r == NULL)
+    if (request == NULL)
         return;
-    g_free(r->key);
-    g_free(r->after);
-    if (r->conditions != NULL)
-        g_array_free(r->conditions, TRUE);
-    if (r->changes != NULL)
-        g_array_free(r->changes, TRUE);
-    g_free(r);
+    g_free(request->key);
+    g_free(request->after);
+    if (request->conditions != NULL)
+        g_array_free(request->conditions, TRUE);
+    if (request->changes != NULL)
+        g_array_free(request->changes, TRUE);
+    g_free(request);
 }
 
 void ow_store_expect(struct ow_store_request *request, const char *key, uint64_t version)
--- a/src/core/types.c
+++ b/src/core/types.c
@@ -7,30 +7,30 @@
     sum->memory_gb += times * need->memory_gb;
 }
 
-void ow_submission_free(struct ow_submission *s)
+void ow_submission_free(struct ow_submission *submission)
 {
-    if (s == NULL)
+    if (submission == NULL)
         return;
-    g_free(s->id);
-    g_free(s->class_name);
-    g_free(s->team);
-    g_free(s->image);
-    g_strfreev(s->types);
-    g_free(s->zone);
-    g_free(s);
+    g_free(submission->id);
+    g_free(submission->class_name);
+    g_free(submission->team);
+    g_free(submission->image);
+    g_strfreev(submission->types);
+    g_free(submission->zone);
+    g_free(submission);
 }
 
-void ow_report_free(struct ow_report *r)
+void ow_report_free(struct ow_report *report)
 {
-    if (r == NULL)
+    if (report == NULL)
         return;
-    g_free(r->machine);
-    g_free(r->addr);
-    g_free(r->type);
-    g_free(r->zone);
-    if (r->tasks != NULL)
-        g_array_free(r->tasks, TRUE);
-    g_free(r);
+    g_free(report->machine);
+    g_free(report->addr);
+    g_free(report->type);
+    g_free(report->zone);
+    if (report->tasks != NULL)
+        g_array_free(report->tasks, TRUE);
+    g_free(report);
 }
 
 void ow_machine_type_clear(void *type)
--- a/src/wire/cloud_json.c
+++ b/src/wire/cloud_json.c
@@ -5,27 +5,27 @@
 
 enum { LIST_PAGE = 500 };
 
-static bool parse_type(const json_t *o, struct ow_machine_type *t)
+static bool parse_type(const json_t *object, struct ow_machine_type *type)
 {
     const char *name = NULL;
-    if (!wj_string(o, W_NAME, &name) || !wj_number(o, W_CPUS, &t->size.cpus) ||
-        !wj_number(o, W_MEMORY, &t->size.memory_gb))
+    if (!wj_string(object, W_NAME, &name) || !wj_number(object, W_CPUS, &type->size.cpus) ||
+        !wj_number(object, W_MEMORY, &type->size.memory_gb))
         return false;
-    wj_number(o, W_GPUS, &t->size.gpus);
-    wj_number(o, W_CACHE, &t->cache_gb);
-    wj_number(o, W_FETCH, &t->fetch_gb_per_s);
-    wj_number(o, W_PRICE, &t->price);
-    t->spot_price = t->price;
-    wj_number(o, W_SPOT_PRICE, &t->spot_price);
-    wj_number(o, W_BOOT, &t->boot_s);
-    t->zones = wj_strings(json_object_get(o, W_ZONES));
-    t->name = g_strdup(name);
+    wj_number(object, W_GPUS, &type->size.gpus);
+    wj_number(object, W_CACHE, &type->cache_gb);
+    wj_number(object, W_FETCH, &type->fetch_gb_per_s);
+    wj_number(object, W_PRICE, &type->price);
+    type->spot_price = type->price;
+    wj_number(object, W_SPOT_PRICE, &type->spot_price);
+    wj_number(object, W_BOOT, &type->boot_s);
+    type->zones = wj_strings(json_object_get(object, W_ZONES));
+    type->name = g_strdup(name);
     return true;
 }
 
-GArray *wire_types_from(const json_t *o)
+GArray *wire_types_from(const json_t *object)
 {
-    const json_t *list = json_object_get(o, W_TYPES);
+    const json_t *list = json_object_get(object, W_TYPES);
     if (!json_is_array(list))
         return NULL;
     GArray *types = g_array_new(FALSE, TRUE, sizeof(struct ow_machine_type));
@@ -43,9 +43,9 @@
 
 GArray *wire_types_parse(const char *text, size_t size)
 {
-    json_t *o = wj_object(text, size);
-    GArray *types = o != NULL ? wire_types_from(o) : NULL;
-    json_decref(o);
+    json_t *object = wj_object(text, size);
+    GArray *types = object != NULL ? wire_types_from(object) : NULL;
+    json_decref(object);
     return types;
 }
 
@@ -53,31 +53,31 @@
 {
     json_t *list = json_array();
     for (guint i = 0; i < types->len; i++) {
-        const struct ow_machine_type *t = &g_array_index(types, struct ow_machine_type, i);
+        const struct ow_machine_type *type = &g_array_index(types, struct ow_machine_type, i);
         json_t *zones = json_array();
-        for (char **zone = t->zones; zone != NULL && *zone != NULL; zone++)
+        for (char **zone = type->zones; zone != NULL && *zone != NULL; zone++)
             json_array_append_new(zones, json_string(*zone));
-        json_array_append_new(list,
-                              json_pack("{s:s,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:o}", W_NAME, t->name, W_CPUS,
-                                        t->size.cpus, W_GPUS, t->size.gpus, W_MEMORY, t->size.memory_gb,
-                                        W_CACHE, t->cache_gb, W_FETCH, t->fetch_gb_per_s, W_PRICE, t->price,
-                                        W_SPOT_PRICE, t->spot_price, W_BOOT, t->boot_s, W_ZONES, zones));
+        json_array_append_new(list, json_pack("{s:s,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:o}", W_NAME, type->name,
+                                              W_CPUS, type->size.cpus, W_GPUS, type->size.gpus, W_MEMORY,
+                                              type->size.memory_gb, W_CACHE, type->cache_gb, W_FETCH,
+                                              type->fetch_gb_per_s, W_PRICE, type->price, W_SPOT_PRICE,
+                                              type->spot_price, W_BOOT, type->boot_s, W_ZONES, zones));
     }
     return json_pack("{s:o}", W_TYPES, list);
 }
 
-char *wire_rental(const struct ow_rental *r)
+char *wire_rental(const struct ow_rental *rental)
 {
-    json_t *o = json_pack("{s:s,s:s,s:s,s:b,s:i}", W_REQUEST, r->request, W_TYPE, r->type, W_ZONE, r->zone,
-                          W_SPOT, (int)r->spot, W_COUNT, (int)r->count);
-    return wj_take_text(o);
+    json_t *object = json_pack("{s:s,s:s,s:s,s:b,s:i}", W_REQUEST, rental->request, W_TYPE, rental->type,
+                               W_ZONE, rental->zone, W_SPOT, (int)rental->spot, W_COUNT, (int)rental->count);
+    return wj_take_text(object);
 }
 
 char **wire_rented_parse(const char *text, size_t size)
 {
-    json_t *o = wj_object(text, size);
-    char **names = o != NULL ? wj_strings(json_object_get(o, W_MACHINES)) : NULL;
-    json_decref(o);
+    json_t *object = wj_object(text, size);
+    char **names = object != NULL ? wj_strings(json_object_get(object, W_MACHINES)) : NULL;
+    json_decref(object);
     return names;
 }
 
@@ -86,36 +86,36 @@
     json_t *list = json_array();
     for (guint i = 0; i < names->len; i++)
         json_array_append_new(list, json_string(g_ptr_array_index(names, i)));
-    json_t *o = json_pack("{s:o}", W_MACHINES, list);
-    return wj_take_text(o);
+    json_t *object = json_pack("{s:o}", W_MACHINES, list);
+    return wj_take_text(object);
 }
 
-static bool parse_listed(const json_t *o, struct ow_listed_machine *m)
+static bool parse_listed(const json_t *object, struct ow_listed_machine *machine)
 {
     const char *name = NULL, *addr = "", *type = NULL, *zone = NULL, *state = NULL;
-    if (!wj_string(o, W_ID, &name) || !wj_string(o, W_TYPE, &type) || !wj_string(o, W_ZONE, &zone) ||
-        !wj_string(o, W_STATE, &state))
+    if (!wj_string(object, W_ID, &name) || !wj_string(object, W_TYPE, &type) ||
+        !wj_string(object, W_ZONE, &zone) || !wj_string(object, W_STATE, &state))
         return false;
     int s = w_index(w_listed, state);
     if (s < 0)
         return false;
-    wj_string(o, W_ADDR, &addr);
-    wj_bool(o, W_SPOT, &m->spot);
-    wj_number(o, W_AGE, &m->age_s);
-    m->state = (enum ow_listed)s;
-    m->name = g_strdup(name);
-    m->addr = g_strdup(addr);
-    m->type = g_strdup(type);
-    m->zone = g_strdup(zone);
+    wj_string(object, W_ADDR, &addr);
+    wj_bool(object, W_SPOT, &machine->spot);
+    wj_number(object, W_AGE, &machine->age_s);
+    machine->state = (enum ow_listed)s;
+    machine->name = g_strdup(name);
+    machine->addr = g_strdup(addr);
+    machine->type = g_strdup(type);
+    machine->zone = g_strdup(zone);
     return true;
 }
 
 GArray *wire_list_parse(const char *text, size_t size, bool *more)
 {
-    json_t *o = wj_object(text, size);
-    const json_t *list = json_object_get(o, W_MACHINES);
+    json_t *object = wj_object(text, size);
+    const json_t *list = json_object_get(object, W_MACHINES);
     if (!json_is_array(list)) {
-        json_decref(o);
+        json_decref(object);
         return NULL;
     }
     GArray *machines = g_array_new(FALSE, TRUE, sizeof(struct ow_listed_machine));
@@ -129,8 +129,8 @@
             g_array_append_val(machines, machine);
     }
     *more = false;
-    wj_bool(o, W_MORE, more);
-    json_decref(o);
+    wj_bool(object, W_MORE, more);
+    json_decref(object);
     return machines;
 }
 
--- a/src/wire/peer_xdr.c
+++ b/src/wire/peer_xdr.c
@@ -62,30 +62,35 @@
 }
 
 /* Answers with a list that the caller frees, or NULL. */
-static void *fill_body(struct ow_peer_message *m, union body *b)
+static void *fill_body(struct ow_peer_message *message, union body *body)
 {
-    switch (m->kind) {
+    switch (message->kind) {
     case OW_PEER_HELLO:
-        b->hello = (peer_hello){m->sender, m->number, m->leads, m->state_ok, m->receives_reports};
+        body->hello = (peer_hello){message->sender, message->number, message->leads, message->state_ok,
+                                   message->receives_reports};
         return NULL;
     case OW_PEER_SUMMARY:
-        b->summary = (peer_summary){m->number, {m->jobs->len, fill_jobs(m->jobs)}};
-        return b->summary.jobs.jobs_val;
+        body->summary = (peer_summary){message->number, {message->jobs->len, fill_jobs(message->jobs)}};
+        return body->summary.jobs.jobs_val;
     case OW_PEER_JOB_CHANGED:
-        b->job_changed.revision = m->number;
+        body->job_changed.revision = message->number;
         return NULL;
     case OW_PEER_MACHINES:
-        b->machines = (peer_machines){m->number, {m->machines->len, fill_machines(m->machines)}};
-        return b->machines.machines.machines_val;
+        body->machines =
+            (peer_machines){message->number, {message->machines->len, fill_machines(message->machines)}};
+        return body->machines.machines.machines_val;
     case OW_PEER_MACHINES_PART:
-        b->machines_part = (peer_machines_part){
-            m->number, m->part, m->part_count, {m->machines->len, fill_machines(m->machines)}};
-        return b->machines_part.machines.machines_val;
+        body->machines_part =
+            (peer_machines_part){message->number,
+                                 message->part,
+                                 message->part_count,
+                                 {message->machines->len, fill_machines(message->machines)}};
+        return body->machines_part.machines.machines_val;
     case OW_PEER_CANCELLATION:
-        b->cancellation = (peer_cancellation){m->job, m->revision, m->number};
+        body->cancellation = (peer_cancellation){message->job, message->revision, message->number};
         return NULL;
     case OW_PEER_CANCELLATION_ACK:
-        b->cancellation_ack = (peer_cancellation_ack){m->job, m->revision, m->number};
+        body->cancellation_ack = (peer_cancellation_ack){message->job, message->revision, message->number};
         return NULL;
     case OW_PEER_LINK_LOST:
         return NULL;
@@ -107,18 +112,19 @@
     return buffer;
 }
 
-bool wire_peer_encode(struct ow_peer_message *m, GString *out)
+bool wire_peer_encode(struct ow_peer_message *message, GString *out)
 {
-    union body b;
+    union body body;
     uint32_t size = 0;
-    memset(&b, 0, sizeof b);
-    xdrproc_t coder = body_coder(m->kind);
+    memset(&body, 0, sizeof body);
+    xdrproc_t coder = body_coder(message->kind);
     if (coder == NULL)
         return false;
-    void *list = fill_body(m, &b);
-    char *body = encode(coder, &b, &size), *whole = NULL;
-    if (body != NULL) {
-        peer_envelope envelope = {PEER_VERSION, (u_int)m->kind, {size, body}};
+    void *list = fill_body(message, &body);
+    char *encoded = encode(coder, &body, &size);
+    char *whole = NULL;
+    if (encoded != NULL) {
+        peer_envelope envelope = {PEER_VERSION, (u_int)message->kind, {size, encoded}};
         whole = encode((xdrproc_t)xdr_peer_envelope, &envelope, &size);
     }
     if (whole != NULL) {
@@ -128,79 +134,80 @@
     }
     bool ok = whole != NULL;
     g_free(whole);
-    g_free(body);
+    g_free(encoded);
     g_free(list);
     return ok;
 }
 
-static void read_summary(const peer_summary *s, struct ow_peer_message *m)
+static void read_summary(const peer_summary *summary, struct ow_peer_message *message)
 {
-    m->number = s->token;
-    for (u_int i = 0; i < s->jobs.jobs_len; i++) {
-        const peer_job *x = &s->jobs.jobs_val[i];
-        struct ow_peer_job job = {.done = x->done, .running = x->running, .reason = g_strdup(x->reason)};
-        g_strlcpy(job.id, x->id, sizeof job.id);
-        g_array_append_val(m->jobs, job);
+    message->number = summary->token;
+    for (u_int i = 0; i < summary->jobs.jobs_len; i++) {
+        const peer_job *entry = &summary->jobs.jobs_val[i];
+        struct ow_peer_job job = {
+            .done = entry->done, .running = entry->running, .reason = g_strdup(entry->reason)};
+        g_strlcpy(job.id, entry->id, sizeof job.id);
+        g_array_append_val(message->jobs, job);
     }
 }
 
-static void read_machines(const peer_machine *machines, u_int count, struct ow_peer_message *m)
+static void read_machines(const peer_machine *machines, u_int count, struct ow_peer_message *message)
 {
     for (u_int i = 0; i < count; i++) {
         const peer_machine *machine = &machines[i];
         struct ow_peer_machine hint = {g_strdup(machine->name), g_strdup(machine->addr),
                                        g_strdup(machine->type), g_strdup(machine->zone), machine->spot};
-        g_array_append_val(m->machines, hint);
+        g_array_append_val(message->machines, hint);
     }
 }
 
-static void read_machines_part(const peer_machines_part *part, struct ow_peer_message *m)
+static void read_machines_part(const peer_machines_part *part, struct ow_peer_message *message)
 {
-    m->number = part->token;
-    m->part = part->part;
+    message->number = part->token;
+    message->part = part->part;
     /* A list of more parts than there may be is none: its parts are dropped one by one. */
-    m->part_count = part->part_count <= PEER_PARTS_MAX ? part->part_count : 0;
-    read_machines(part->machines.machines_val, part->machines.machines_len, m);
+    message->part_count = part->part_count <= PEER_PARTS_MAX ? part->part_count : 0;
+    read_machines(part->machines.machines_val, part->machines.machines_len, message);
 }
 
-static struct ow_peer_message *read_body(unsigned kind, const union body *b)
+static struct ow_peer_message *read_body(unsigned kind, const union body *body)
 {
-    struct ow_peer_message *m = ow_peer_message_new((enum ow_peer_kind)kind);
-    switch (m->kind) {
+    struct ow_peer_message *message = ow_peer_message_new((enum ow_peer_kind)kind);
+    switch (message->kind) {
     case OW_PEER_HELLO:
-        m->sender = g_strdup(b->hello.sender);
-        m->number = b->hello.token;
-        m->leads = b->hello.leads;
-        m->state_ok = b->hello.state_ok;
-        m->receives_reports = b->hello.receives_reports;
+        message->sender = g_strdup(body->hello.sender);
+        message->number = body->hello.token;
+        message->leads = body->hello.leads;
+        message->state_ok = body->hello.state_ok;
+        message->receives_reports = body->hello.receives_reports;
         break;
     case OW_PEER_SUMMARY:
-        read_summary(&b->summary, m);
+        read_summary(&body->summary, message);
         break;
     case OW_PEER_JOB_CHANGED:
-        m->number = b->job_changed.revision;
+        message->number = body->job_changed.revision;
         break;
     case OW_PEER_MACHINES:
-        m->number = b->machines.token;
-        read_machines(b->machines.machines.machines_val, b->machines.machines.machines_len, m);
+        message->number = body->machines.token;
+        read_machines(body->machines.machines.machines_val, body->machines.machines.machines_len, message);
         break;
     case OW_PEER_MACHINES_PART:
-        read_machines_part(&b->machines_part, m);
+        read_machines_part(&body->machines_part, message);
         break;
     case OW_PEER_CANCELLATION:
-        g_strlcpy(m->job, b->cancellation.job, sizeof m->job);
-        m->revision = b->cancellation.revision;
-        m->number = b->cancellation.token;
+        g_strlcpy(message->job, body->cancellation.job, sizeof message->job);
+        message->revision = body->cancellation.revision;
+        message->number = body->cancellation.token;
         break;
     case OW_PEER_CANCELLATION_ACK:
-        g_strlcpy(m->job, b->cancellation_ack.job, sizeof m->job);
-        m->revision = b->cancellation_ack.revision;
-        m->number = b->cancellation_ack.token;
+        g_strlcpy(message->job, body->cancellation_ack.job, sizeof message->job);
+        message->revision = body->cancellation_ack.revision;
+        message->number = body->cancellation_ack.token;
         break;
     case OW_PEER_LINK_LOST:
         break;
     }
-    return m;
+    return message;
 }
 
 /* What comes behind the fields that we know is a later version's and is left alone. */
@@ -216,19 +223,19 @@
 bool wire_peer_decode(const char *data, size_t size, struct ow_peer_message **message)
 {
     peer_envelope envelope;
-    union body b;
+    union body body;
     memset(&envelope, 0, sizeof envelope);
-    memset(&b, 0, sizeof b);
+    memset(&body, 0, sizeof body);
     *message = NULL;
     bool ok = decode((xdrproc_t)xdr_peer_envelope, data, size, &envelope);
     xdrproc_t coder = ok ? body_coder(envelope.kind) : NULL;
     if (coder != NULL) {
-        ok = decode(coder, envelope.body.body_val, envelope.body.body_len, &b);
+        ok = decode(coder, envelope.body.body_val, envelope.body.body_len, &body);
         if (ok) {
-            *message = read_body(envelope.kind, &b);
+            *message = read_body(envelope.kind, &body);
             (*message)->version = envelope.format;
         }
-        xdr_free(coder, (char *)&b);
+        xdr_free(coder, (char *)&body);
     }
     xdr_free((xdrproc_t)xdr_peer_envelope, (char *)&envelope);
     return ok;
--- a/src/wire/records_json.c
+++ b/src/wire/records_json.c
@@ -22,16 +22,16 @@
 
 char *wire_job_record(const struct ow_job_record *record)
 {
-    json_t *o = json_object();
+    json_t *object = json_object();
     if (record->state == OW_JOB_DONE || record->state == OW_JOB_CANCELLED)
-        json_object_set_new(o, F_STATE, json_integer(record->state));
+        json_object_set_new(object, F_STATE, json_integer(record->state));
     if (record->submission != NULL)
-        json_object_set_new(o, F_SUBMISSION, wire_submission_json(record->submission));
+        json_object_set_new(object, F_SUBMISSION, wire_submission_json(record->submission));
     if (record->accepted_at > 0)
-        json_object_set_new(o, F_ACCEPTED, json_integer((json_int_t)record->accepted_at));
+        json_object_set_new(object, F_ACCEPTED, json_integer((json_int_t)record->accepted_at));
     if (record->leader_token > 0)
-        json_object_set_new(o, F_LEADER_TOKEN, json_integer((json_int_t)record->leader_token));
-    return wj_take_text(o);
+        json_object_set_new(object, F_LEADER_TOKEN, json_integer((json_int_t)record->leader_token));
+    return wj_take_text(object);
 }
 
 bool wire_job_record_parse(const json_t *value, struct ow_job_record *out)
@@ -113,10 +113,10 @@
         g_free(place);
     }
     char *done = done_text(record->done);
-    json_t *o =
+    json_t *object =
         json_pack("{s:I,s:s,s:o}", F_LAST, (json_int_t)record->last_attempt, F_DONE, done, F_LIVE, live);
     g_free(done);
-    return wj_take_text(o);
+    return wj_take_text(object);
 }
 
 static bool parse_range(const char **text, uint32_t *from, uint32_t *to)
--- a/src/wire/state_json.c
+++ b/src/wire/state_json.c
@@ -7,63 +7,64 @@
 
 enum { LIST_PAGE = 500 };
 
-static char *txn_body(const struct ow_store_request *r)
+static char *txn_body(const struct ow_store_request *request)
 {
     json_t *conditions = json_array(), *changes = json_array();
-    for (guint i = 0; i < r->conditions->len; i++) {
-        const struct ow_condition *c = &g_array_index(r->conditions, struct ow_condition, i);
-        json_array_append_new(conditions,
-                              json_pack("{s:s,s:I}", W_KEY, c->key, W_VERSION, (json_int_t)c->version));
+    for (guint i = 0; i < request->conditions->len; i++) {
+        const struct ow_condition *condition = &g_array_index(request->conditions, struct ow_condition, i);
+        json_array_append_new(conditions, json_pack("{s:s,s:I}", W_KEY, condition->key, W_VERSION,
+                                                    (json_int_t)condition->version));
     }
-    for (guint i = 0; i < r->changes->len; i++) {
-        const struct ow_change *c = &g_array_index(r->changes, struct ow_change, i);
-        json_t *o;
-        if (c->value == NULL)
-            o = json_pack("{s:s}", W_DELETE, c->key);
+    for (guint i = 0; i < request->changes->len; i++) {
+        const struct ow_change *change = &g_array_index(request->changes, struct ow_change, i);
+        json_t *object;
+        if (change->value == NULL)
+            object = json_pack("{s:s}", W_DELETE, change->key);
         else
-            o = json_pack("{s:s,s:o}", W_PUT, c->key, W_VALUE, json_loads(c->value, JSON_DECODE_ANY, NULL));
-        if (c->lease != 0)
-            json_object_set_new(o, W_LEASE, json_integer((json_int_t)c->lease));
-        json_array_append_new(changes, o);
+            object = json_pack("{s:s,s:o}", W_PUT, change->key, W_VALUE,
+                               json_loads(change->value, JSON_DECODE_ANY, NULL));
+        if (change->lease != 0)
+            json_object_set_new(object, W_LEASE, json_integer((json_int_t)change->lease));
+        json_array_append_new(changes, object);
     }
     return wj_take_text(json_pack("{s:o,s:o}", W_IF, conditions, W_THEN, changes));
 }
 
-static char *list_path(const struct ow_store_request *r)
+static char *list_path(const struct ow_store_request *request)
 {
-    if (r->after == NULL)
-        return g_strdup_printf("%s?%s=%s&%s=%d", W_PATH_KEYS, W_PREFIX, r->key, W_LIMIT, LIST_PAGE);
-    return g_strdup_printf("%s?%s=%s&%s=%s&%s=%d", W_PATH_KEYS, W_PREFIX, r->key, W_AFTER, r->after, W_LIMIT,
-                           LIST_PAGE);
+    if (request->after == NULL)
+        return g_strdup_printf("%s?%s=%s&%s=%d", W_PATH_KEYS, W_PREFIX, request->key, W_LIMIT, LIST_PAGE);
+    return g_strdup_printf("%s?%s=%s&%s=%s&%s=%d", W_PATH_KEYS, W_PREFIX, request->key, W_AFTER,
+                           request->after, W_LIMIT, LIST_PAGE);
 }
 
-struct wire_http wire_store_request(const struct ow_store_request *r)
+struct wire_http wire_store_request(const struct ow_store_request *request)
 {
     struct wire_http http = {.method = "GET"};
-    switch (r->op) {
+    switch (request->op) {
     case OW_STORE_GET:
-        http.path = g_strdup_printf("%s/%s", W_PATH_KEYS, r->key);
+        http.path = g_strdup_printf("%s/%s", W_PATH_KEYS, request->key);
         break;
     case OW_STORE_LIST:
-        http.path = list_path(r);
+        http.path = list_path(request);
         break;
     case OW_STORE_TXN:
         http.method = "POST";
         http.path = g_strdup(W_PATH_TXN);
-        http.body = txn_body(r);
+        http.body = txn_body(request);
         break;
     case OW_STORE_WATCH:
-        http.path = g_strdup_printf("%s?%s=%s&%s=%" PRIu64 "&%s=%d", W_PATH_WATCH, W_PREFIX, r->key, W_AFTER,
-                                    r->number, W_WAIT, (int)(r->seconds * 1000.0));
+        http.path = g_strdup_printf("%s?%s=%s&%s=%" PRIu64 "&%s=%d", W_PATH_WATCH, W_PREFIX, request->key,
+                                    W_AFTER, request->number, W_WAIT, (int)(request->seconds * 1000.0));
         break;
     case OW_STORE_LEASE:
         http.method = "POST";
         http.path = g_strdup(W_PATH_LEASES);
-        http.body = wj_take_text(json_pack("{s:i}", W_TTL, (int)(r->seconds * 1000.0)));
+        http.body = wj_take_text(json_pack("{s:i}", W_TTL, (int)(request->seconds * 1000.0)));
         break;
     case OW_STORE_RENEW:
         http.method = "POST";
-        http.path = g_strdup_printf("%s/%" PRIu64 "/%s", W_PATH_LEASES, r->number, W_PATH_RENEW);
+        http.path = g_strdup_printf("%s/%" PRIu64 "/%s", W_PATH_LEASES, request->number, W_PATH_RENEW);
         http.body = g_strdup("{}");
         break;
     }
@@ -83,35 +84,35 @@
     json_decref(i->value);
 }
 
-static bool add_item(GArray *items, const json_t *o, const char *key_field)
+static bool add_item(GArray *items, const json_t *object, const char *key_field)
 {
     const char *key = NULL;
     struct ow_store_item item = {0};
-    if (!wj_string(o, key_field, &key) || !wj_count(o, W_VERSION, &item.version))
+    if (!wj_string(object, key_field, &key) || !wj_count(object, W_VERSION, &item.version))
         return false;
     item.key = g_strdup(key);
-    item.value = json_incref(json_object_get(o, W_VALUE));
+    item.value = json_incref(json_object_get(object, W_VALUE));
     g_array_append_val(items, item);
     return true;
 }
 
-static bool add_event(GArray *items, const json_t *o)
+static bool add_event(GArray *items, const json_t *object)
 {
-    if (json_object_get(o, W_PUT) != NULL)
-        return add_item(items, o, W_PUT);
+    if (json_object_get(object, W_PUT) != NULL)
+        return add_item(items, object, W_PUT);
     const char *key = NULL;
     struct ow_store_item item = {0};
-    if (!wj_string(o, W_DELETE, &key))
+    if (!wj_string(object, W_DELETE, &key))
         return false;
-    wj_count(o, W_VERSION, &item.version);
+    wj_count(object, W_VERSION, &item.version);
     item.key = g_strdup(key);
     g_array_append_val(items, item);
     return true;
 }
 
-static bool read_items(const json_t *o, const char *field, bool events, GArray *items)
+static bool read_items(const json_t *object, const char *field, bool events, GArray *items)
 {
-    const json_t *list = json_object_get(o, field);
+    const json_t *list = json_object_get(object, field);
     if (!json_is_array(list))
         return false;
     size_t i;
@@ -121,21 +122,21 @@
     return true;
 }
 
-static bool read_success(enum ow_store_op op, const json_t *o, struct ow_store_reply *out)
+static bool read_success(enum ow_store_op op, const json_t *object, struct ow_store_reply *out)
 {
-    wj_count(o, W_REVISION, &out->revision);
+    wj_count(object, W_REVISION, &out->revision);
     switch (op) {
     case OW_STORE_GET:
-        return add_item(out->items, o, W_KEY);
+        return add_item(out->items, object, W_KEY);
     case OW_STORE_LIST:
-        wj_bool(o, W_MORE, &out->more);
-        return json_object_get(o, W_REVISION) != NULL && read_items(o, W_ITEMS, false, out->items);
+        wj_bool(object, W_MORE, &out->more);
+        return json_object_get(object, W_REVISION) != NULL && read_items(object, W_ITEMS, false, out->items);
     case OW_STORE_WATCH:
-        return json_object_get(o, W_REVISION) != NULL && read_items(o, W_EVENTS, true, out->items);
+        return json_object_get(object, W_REVISION) != NULL && read_items(object, W_EVENTS, true, out->items);
     case OW_STORE_TXN:
-        return json_object_get(o, W_REVISION) != NULL;
+        return json_object_get(object, W_REVISION) != NULL;
     case OW_STORE_LEASE:
-        return wj_count(o, W_LEASE, &out->lease);
+        return wj_count(object, W_LEASE, &out->lease);
     case OW_STORE_RENEW:
         return true;
     }
@@ -148,12 +149,12 @@
     out->status = status;
     out->items = g_array_new(FALSE, FALSE, sizeof(struct ow_store_item));
     g_array_set_clear_func(out->items, item_clear);
-    json_t *o = status == 200 || status == 409 || status == 404 ? wj_object(body, size) : NULL;
-    if (status == 200 && op != OW_STORE_RENEW && (o == NULL || !read_success(op, o, out)))
+    json_t *object = status == 200 || status == 409 || status == 404 ? wj_object(body, size) : NULL;
+    if (status == 200 && op != OW_STORE_RENEW && (object == NULL || !read_success(op, object, out)))
         out->status = 0;
-    if (status == 409 && o != NULL)
-        out->failed = wj_strings(json_object_get(o, W_FAILED));
-    if (status == 404 && o != NULL)
-        wj_count(o, W_REVISION, &out->revision);
-    json_decref(o);
+    if (status == 409 && object != NULL)
+        out->failed = wj_strings(json_object_get(object, W_FAILED));
+    if (status == 404 && object != NULL)
+        wj_count(object, W_REVISION, &out->revision);
+    json_decref(object);
 }
--- a/src/wire/worker_json.c
+++ b/src/wire/worker_json.c
@@ -21,28 +21,28 @@
     return true;
 }
 
-static bool parse_task(const json_t *o, struct ow_task_report *out)
+static bool parse_task(const json_t *object, struct ow_task_report *out)
 {
     const char *name = NULL, *phase = NULL, *cause = "";
     memset(out, 0, sizeof *out);
-    if (!wj_string(o, W_TASK, &name) || !parse_task_name(name, out) ||
-        !wj_count(o, W_ATTEMPT, &out->attempt) || !wj_string(o, W_STATE, &phase))
+    if (!wj_string(object, W_TASK, &name) || !parse_task_name(name, out) ||
+        !wj_count(object, W_ATTEMPT, &out->attempt) || !wj_string(object, W_STATE, &phase))
         return false;
     int p = w_index(w_phases, phase);
     if (p < 0)
         return false;
     out->phase = (enum ow_phase)p;
-    wj_string(o, W_CAUSE, &cause);
-    wj_bool(o, W_SAVED, &out->saved);
+    wj_string(object, W_CAUSE, &cause);
+    wj_bool(object, W_SAVED, &out->saved);
     int c = w_index(w_causes, cause);
     /* A cause we do not know still says that the task has ended. */
     out->cause = c < 0 ? OW_CAUSE_ERROR : (enum ow_cause)c;
     return true;
 }
 
-static bool parse_tasks(const json_t *o, GArray *out)
+static bool parse_tasks(const json_t *object, GArray *out)
 {
-    const json_t *list = json_object_get(o, W_TASKS);
+    const json_t *list = json_object_get(object, W_TASKS);
     if (!json_is_array(list))
         return false;
     size_t i;
@@ -60,29 +60,30 @@
 
 struct ow_report *wire_report_parse(const char *text, size_t size)
 {
-    json_t *o = wj_object(text, size);
-    if (o == NULL)
+    json_t *object = wj_object(text, size);
+    if (object == NULL)
         return NULL;
-    struct ow_report *r = g_new0(struct ow_report, 1);
+    struct ow_report *report = g_new0(struct ow_report, 1);
     const char *machine = NULL, *addr = NULL, *type = NULL, *zone = NULL;
-    r->tasks = g_array_new(FALSE, FALSE, sizeof(struct ow_task_report));
-    r->notice_s = -1;
-    bool ok = wj_string(o, W_MACHINE, &machine) && wj_string(o, W_ADDR, &addr) &&
-              wj_string(o, W_TYPE, &type) && wj_string(o, W_ZONE, &zone) &&
-              wj_count(o, W_SESSION, &r->session) && wj_count(o, W_SEQ, &r->seq) && parse_tasks(o, r->tasks);
+    report->tasks = g_array_new(FALSE, FALSE, sizeof(struct ow_task_report));
+    report->notice_s = -1;
+    bool ok = wj_string(object, W_MACHINE, &machine) && wj_string(object, W_ADDR, &addr) &&
+              wj_string(object, W_TYPE, &type) && wj_string(object, W_ZONE, &zone) &&
+              wj_count(object, W_SESSION, &report->session) && wj_count(object, W_SEQ, &report->seq) &&
+              parse_tasks(object, report->tasks);
     if (ok) {
-        wj_bool(o, W_SPOT, &r->spot);
-        wj_count(o, W_TOKEN, &r->token);
-        wj_number(o, W_NOTICE, &r->notice_s);
-        r->machine = g_strdup(machine);
-        r->addr = g_strdup(addr);
-        r->type = g_strdup(type);
-        r->zone = g_strdup(zone);
+        wj_bool(object, W_SPOT, &report->spot);
+        wj_count(object, W_TOKEN, &report->token);
+        wj_number(object, W_NOTICE, &report->notice_s);
+        report->machine = g_strdup(machine);
+        report->addr = g_strdup(addr);
+        report->type = g_strdup(type);
+        report->zone = g_strdup(zone);
     }
-    json_decref(o);
+    json_decref(object);
     if (ok)
-        return r;
-    ow_report_free(r);
+        return report;
+    ow_report_free(report);
     return NULL;
 }
 
@@ -93,11 +94,11 @@
         const struct ow_worker_command *command = &g_array_index(commands, struct ow_worker_command, i);
         char name[OW_ID_MAX + 16];
         g_snprintf(name, sizeof name, "%s/%u", command->job, command->task);
-        json_t *o = json_pack("{s:s,s:s,s:I}", W_OP, w_worker_commands[command->kind], W_TASK, name,
-                              W_ATTEMPT, (json_int_t)command->attempt);
+        json_t *object = json_pack("{s:s,s:s,s:I}", W_OP, w_worker_commands[command->kind], W_TASK, name,
+                                   W_ATTEMPT, (json_int_t)command->attempt);
         if (command->kind == OW_WORKER_STOP)
-            json_object_set_new(o, W_GRACE, json_real(command->grace_s));
-        json_array_append_new(list, o);
+            json_object_set_new(object, W_GRACE, json_real(command->grace_s));
+        json_array_append_new(list, object);
     }
     return list;
 }
