--- a/src/core/scheduling/reason.c
+++ b/src/core/scheduling/reason.c
@@ -15,6 +15,7 @@
     int zone;
     bool spot;
     uint32_t allowed;
+    uint32_t booting;
     uint32_t usable;
 };
 
@@ -37,6 +38,8 @@
         if (!ow_placement_is_allowed(leader, spec, machine))
             continue;
         count.allowed++;
+        if (machine->last_message_at == 0 && machine->listed == OW_LISTED_BOOTING)
+            count.booting++;
         if (ow_machine_is_usable(leader, machine))
             count.usable++;
     }
@@ -68,7 +71,10 @@
         return g_strdup_printf("team %s is at its limit", spec->submission->team);
     struct allowance allowance = allowed_machines(leader, spec);
     if (allowance.allowed == 0)
-        return g_strdup("no machine that it allows is rented yet");
+        return g_strdup("no machine that it allows is rented yet; as many are rented as the cloud gives");
+    if (allowance.usable == 0 && allowance.booting > 0)
+        return g_strdup_printf("%u of the %u machines that it allows are booting, and none is up yet",
+                               allowance.booting, allowance.allowed);
     if (allowance.usable == 0)
         return g_strdup_printf("none of the %u machines that it allows can take tasks now",
                                allowance.allowed);
--- a/tests/test_user_api.c
+++ b/tests/test_user_api.c
@@ -194,6 +194,33 @@
     world_finish(w);
 }
 
+/* A new user on an empty fleet is told that machines are rented and boot, and can cancel meanwhile. */
+static void test_empty_fleet_tells_why_a_job_waits(void **state)
+{
+    (void)state;
+    struct world *w = world_with_one_controller();
+    world_run(w, 3);
+    world_submit(w, 0, world_job("run-1", 1, 16));
+    world_run(w, 1);
+    uint64_t request = world_poll(w, 0, "run-1");
+    world_run(w, 1);
+    assert_non_null(strstr(world_answer(w, request)->reason, "rented yet"));
+    w->capacity = 1;
+    /* The cloud's refusals are remembered for a minute; then the machine boots for five seconds. */
+    const char *reason = NULL;
+    for (int i = 0; i < 200 && (reason == NULL || strstr(reason, "booting") == NULL); i++) {
+        request = world_poll(w, 0, "run-1");
+        world_run(w, 0.5);
+        reason = world_answer(w, request)->reason;
+    }
+    assert_non_null(reason);
+    assert_non_null(strstr(reason, "booting"));
+    request = world_cancel(w, 0, "run-1");
+    world_run(w, 2);
+    assert_int_equal(world_answer(w, request)->state, OW_JOB_CANCELLED);
+    world_finish(w);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -207,6 +234,7 @@
         cmocka_unit_test(test_done_is_answered_only_after_commit),
         cmocka_unit_test(test_cancellation_and_completion_are_exclusive),
         cmocka_unit_test(test_poll_answers_the_waiting_reason),
+        cmocka_unit_test(test_empty_fleet_tells_why_a_job_waits),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -44,6 +44,39 @@
     ow_submission_free(submission);
 }
 
+/* A deadline that is null or left out is none; 0 is accepted, as one that can't be met. */
+static void test_deadline_is_optional(void **state)
+{
+    (void)state;
+    static const char *const fields[] = {"\"dusk_s\":null,", "", "\"dusk_s\":0,"};
+    for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+        char **parts = g_strsplit(JOB, "\"dusk_s\":900.0,", 2);
+        char *text = g_strconcat(parts[0], fields[i], parts[1], NULL);
+        struct ow_submission *submission = parse_job(text);
+        assert_non_null(submission);
+        assert_true(submission->deadline_s == 0);
+        ow_submission_free(submission);
+        g_free(text);
+        g_strfreev(parts);
+    }
+}
+
+static void test_wrong_deadline_is_named(void **state)
+{
+    (void)state;
+    static const char *const values[] = {"-0.5", "true", "\"soon\"", "1e10"};
+    for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+        char **parts = g_strsplit(JOB, "\"dusk_s\":900.0", 2);
+        char *text = g_strconcat(parts[0], "\"dusk_s\":", values[i], parts[1], NULL);
+        const char *fault = NULL;
+        char id[OW_ID_MAX + 1];
+        assert_null(wire_submission_parse(text, strlen(text), id, &fault));
+        assert_true(g_str_has_prefix(fault, "dusk_s"));
+        g_free(text);
+        g_strfreev(parts);
+    }
+}
+
 struct change {
     const char *from, *to;
 };
@@ -75,6 +108,9 @@
     {"\"flight_s\":240.0,", ""},
     {"\"ensemble\"", "\"standing\""}, /* a service has no run time */
     {"\"molt_s\":30.0,", ""},
+    {"\"dusk_s\":900.0", "\"dusk_s\":-1"},
+    {"\"dusk_s\":900.0", "\"dusk_s\":\"900\""},
+    {"\"dusk_s\":900.0", "\"dusk_s\":1e10"},
     {"\"image_gb\":6.2,", ""},
     {"\"plumage\":\"img-07\",", ""},
     {"\"windfall\":true,", ""},
@@ -246,6 +282,8 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_job_survives_its_stored_form),
+        cmocka_unit_test(test_deadline_is_optional),
+        cmocka_unit_test(test_wrong_deadline_is_named),
         cmocka_unit_test(test_bad_jobs_are_refused),
         cmocka_unit_test(test_reports),
         cmocka_unit_test(test_worker_commands),
