Take-overs of 4,000 machines: probes bounded, reports before commands

The log showed 1,100 to 1,500 machines every five seconds that 'do not answer': commands whose answers lay in our own sockets past their three seconds, sent again three seconds later.

Now: commands to machines that may not answer are bounded (1,000 for each core of our share, 64 at least), a machine that has reported is answered with our token and asked directly only if it does not report again within a second, a machine that was fenced meanwhile is not asked at all, and before a request is given up its socket is read once more. Reading a socket is written once for the three kinds of connection.

--- a/src/core/leader_state.h
+++ b/src/core/leader_state.h
@@ -93,6 +93,7 @@
     GPtrArray *machines;          /* struct ow_machine, owned */
     uint32_t report_generation;   /* reports.c: reports taken in so far */
     GPtrArray *direct_due;        /* struct ow_machine, not owned: worker_commands.c */
+    unsigned probes; /* direct commands under way to machines that may not answer: worker_commands.c */
 
     GPtrArray *runs; /* struct ow_run, owned: run.c */
     struct ow_team_state teams;
--- a/src/core/machines/reports.c
+++ b/src/core/machines/reports.c
@@ -245,7 +245,7 @@
     if (report->token != leader->token || leader->phase != OW_LEADER_READY) {
         /* Until it has seen our token an older leader may still change what it says. */
         if (leader->phase == OW_LEADER_READY)
-            ow_worker_commands_want(leader, machine);
+            ow_worker_commands_want_fenced(leader, machine);
         return machine;
     }
     if (!machine->fenced)
--- a/src/core/machines/worker_commands.c
+++ b/src/core/machines/worker_commands.c
@@ -8,6 +8,12 @@
 #include "core/run.h"
 
 enum { COMMANDS_MAX = 400 };
+/* Direct commands to machines that may not answer, at a time: so many, and in proportion to our share of a
+ * core. */
+enum { PROBES_LEAST = 64, PROBES_PER_CORE = 1000 };
+/* A worker that learns of our token by an answer reports again at once: only if it does not within this time
+   is it sent a direct command. */
+static const double FENCE_BY_REPORT_S = 1;
 static const double DIRECT_PAUSE_S = 3, REFUSED_PAUSE_S = 0.5, UNSENT_PAUSE_S = 0.5;
 /* Processor time of a direct command with its answer, in seconds of a core, and the part of our share of a
    core that those to all machines may take: at a take-over every worker reports as well, and the lease has to
@@ -39,14 +45,20 @@
         add_command(commands, OW_WORKER_STOP, attempt);
 }
 
+/* Whether there is something to tell the machine of the attempt. A new session has forgotten the tasks of the
+   old one; it must not be given them again. */
+static bool is_command_due(const struct ow_machine *machine, const struct ow_attempt *attempt)
+{
+    return attempt->session == machine->session && (attempt->state != OW_ATTEMPT_SEEN || attempt->stop);
+}
+
 GArray *ow_worker_commands_for(struct ow_leader *leader, struct ow_machine *machine, GArray *starts)
 {
     GArray *commands = g_array_new(FALSE, FALSE, sizeof(struct ow_worker_command));
     (void)leader;
     for (guint i = 0; i < machine->attempts->len && commands->len < COMMANDS_MAX; i++) {
         struct ow_attempt *attempt = g_ptr_array_index(machine->attempts, i);
-        /* A new session has forgotten the tasks of the old one; it must not be given them again. */
-        if (attempt->session == machine->session && (attempt->state != OW_ATTEMPT_SEEN || attempt->stop))
+        if (is_command_due(machine, attempt))
             add_attempt_command(attempt, commands, starts);
     }
     return commands;
@@ -56,8 +68,22 @@
 struct direct_call {
     char *machine;
     double sent_at;
+    bool is_probe;
 };
 
+/* Whether nobody knows that the machine would answer. */
+static bool is_unheard(const struct ow_machine *machine)
+{
+    return machine->last_message_at == 0 || machine->unanswered_since > 0;
+}
+
+/* Probes under way at a time. Those that we can't attend to in time would count as unanswered and be sent
+   again: with thousands of them that went on for ever. */
+static unsigned probes_most(const struct ow_leader *leader)
+{
+    return MAX(PROBES_LEAST, (unsigned)(PROBES_PER_CORE * leader->controller->settings->core_share));
+}
+
 static void direct_call_free(void *data)
 {
     struct direct_call *call = data;
@@ -81,6 +107,7 @@
     struct ow_leader *leader = owner;
     const struct direct_call *call = data;
     struct ow_machine *machine = ow_machines_find(leader, call->machine);
+    leader->probes -= call->is_probe ? 1 : 0;
     if (machine == NULL)
         return;
     if (answer->report != NULL && answer->report->token > leader->token) {
@@ -114,7 +141,8 @@
 {
     struct ow_effect *effect = ow_effect_new(OW_EFFECT_DIRECT, 0);
     struct direct_call *call = g_new0(struct direct_call, 1);
-    *call = (struct direct_call){g_strdup(machine->name), leader->controller->now};
+    *call = (struct direct_call){g_strdup(machine->name), leader->controller->now, is_unheard(machine)};
+    leader->probes += call->is_probe ? 1 : 0;
     machine->direct_wanted = false;
     machine->direct_busy = true;
     effect->commands = ow_worker_commands_for(leader, machine, machine->direct_launches);
@@ -135,6 +163,13 @@
     g_ptr_array_add(leader->direct_due, machine);
 }
 
+void ow_worker_commands_want_fenced(struct ow_leader *leader, struct ow_machine *machine)
+{
+    if (!machine->direct_wanted)
+        machine->direct_at = MAX(machine->direct_at, leader->controller->now + FENCE_BY_REPORT_S);
+    ow_worker_commands_want(leader, machine);
+}
+
 void ow_worker_commands_want_all(struct ow_leader *leader)
 {
     double interval_s = DIRECT_COST_S / (WANT_ALL_SHARE * leader->controller->settings->core_share);
@@ -155,7 +190,28 @@
 /* Whether the machine can be sent a direct command now. */
 static bool is_direct_possible(const struct ow_leader *leader, const struct ow_machine *machine)
 {
-    return !machine->direct_busy && machine->addr != NULL && leader->controller->now >= machine->direct_at;
+    if (machine->direct_busy || machine->addr == NULL || leader->controller->now < machine->direct_at)
+        return false;
+    return !is_unheard(machine) || leader->probes < probes_most(leader);
+}
+
+static bool has_commands(const struct ow_machine *machine)
+{
+    for (guint i = 0; i < machine->attempts->len; i++) {
+        if (is_command_due(machine, g_ptr_array_index(machine->attempts, i)))
+            return true;
+    }
+    return false;
+}
+
+/* Whether a direct command would tell or show anything: a machine that has been fenced meanwhile is left
+ * alone. */
+static bool is_direct_needed(const struct ow_leader *leader, const struct ow_machine *machine)
+{
+    if (!machine->direct_wanted)
+        return false;
+    return !machine->fenced || is_unheard(machine) || !ow_machine_heard_recently(leader, machine) ||
+           has_commands(machine);
 }
 
 /* Only the machines on the list are visited: in a large fleet a look at each of them in every round would
@@ -164,10 +220,12 @@
 {
     for (guint i = leader->direct_due->len; i > 0; i--) {
         struct ow_machine *machine = g_ptr_array_index(leader->direct_due, i - 1);
-        if (machine->direct_wanted && !is_direct_possible(leader, machine))
+        bool needed = is_direct_needed(leader, machine);
+        if (needed && !is_direct_possible(leader, machine))
             continue;
-        if (machine->direct_wanted)
+        if (needed)
             send_direct(leader, machine);
+        machine->direct_wanted = false;
         ow_worker_commands_forget(leader, machine);
     }
 }
--- a/src/core/machines/worker_commands.h
+++ b/src/core/machines/worker_commands.h
@@ -14,6 +14,9 @@
 GArray *ow_worker_commands_for(struct ow_leader *leader, struct ow_machine *machine, GArray *starts);
 /* From now on the machine is due a direct command: with what there is to tell it, or else to hear from it. */
 void ow_worker_commands_want(struct ow_leader *leader, struct ow_machine *machine);
+/* The same for a machine that has reported under an older token and is answered under ours: a command is sent
+   only if it does not report again of itself. */
+void ow_worker_commands_want_fenced(struct ow_leader *leader, struct ow_machine *machine);
 /* The same for every machine, as a new leader does to show them its token; in a large fleet one after the
    other, for most of them come with a report meanwhile. */
 void ow_worker_commands_want_all(struct ow_leader *leader);
--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -4,11 +4,9 @@
 #include "io/http_status.h"
 #include "io/net.h"
 
-#include <errno.h>
 #include <glib.h>
 #include <string.h>
 #include <sys/epoll.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 static const double IDLE_CLOSE_S = 20;
@@ -22,6 +20,7 @@
     bool busy;
     uint64_t tag;
     double deadline; /* busy: of the request; idle: when to close */
+    bool overdue;    /* past its deadline, and its socket has been read since */
     struct ow_http_parser parser;
     GString *out;
     size_t sent;
@@ -135,19 +134,18 @@
 {
     char buffer[READ_BYTES];
     for (;;) {
-        ssize_t n = recv(connection->watch.fd, buffer, sizeof buffer, 0);
-        if (n < 0 && errno == EINTR)
-            continue;
-        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-            return;
+        size_t size = 0;
         size_t used = 0;
+        enum ow_net_reading reading = ow_net_read(connection->watch.fd, buffer, sizeof buffer, &size);
+        if (reading == OW_NET_LATER)
+            return;
         enum ow_http_result result = OW_HTTP_MALFORMED;
-        if (n > 0 && connection->busy)
-            result = ow_http_parse(&connection->parser, buffer, (size_t)n, &used);
+        if (reading == OW_NET_DATA && connection->busy)
+            result = ow_http_parse(&connection->parser, buffer, size, &used);
         if (result == OW_HTTP_MORE)
             continue;
         /* Anything unasked-for on an idle connection ends it, too. */
-        if (result == OW_HTTP_DONE && used == (size_t)n) {
+        if (result == OW_HTTP_DONE && used == size) {
             finish(connection);
         } else if (result == OW_HTTP_TOO_LARGE) {
             g_warning("an answer of %s exceeds %d bytes", connection->endpoint, BODY_LIMIT_BYTES);
@@ -250,6 +248,7 @@
     }
     forget_idle(connection);
     connection->busy = true;
+    connection->overdue = false;
     connection->tag = tag;
     connection->deadline = ow_loop_now(client->loop) + timeout_s;
     g_string_append_printf(connection->out, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, path, endpoint);
@@ -302,7 +301,15 @@
         if (i > client->connections->len)
             continue;
         struct connection *connection = g_ptr_array_index(client->connections, i - 1);
-        if (now >= connection->deadline)
+        if (now < connection->deadline)
+            continue;
+        bool may_have_come = connection->busy && connection->watch.fd >= 0 && connection->out->len == 0;
+        if (connection->overdue || !may_have_come) {
             fail(connection);
+            continue;
+        }
+        /* We may be late, not the answer: what has come is taken in, and the next sweep looks again. */
+        connection->overdue = true;
+        read_ready(connection);
     }
 }
--- a/src/io/http_connection.c
+++ b/src/io/http_connection.c
@@ -144,17 +144,16 @@
 {
     char buffer[READ_BYTES];
     for (;;) {
-        ssize_t n = recv(connection->watch.fd, buffer, sizeof buffer, 0);
-        if (n < 0 && errno == EINTR)
-            continue;
-        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        size_t size = 0;
+        enum ow_net_reading reading = ow_net_read(connection->watch.fd, buffer, sizeof buffer, &size);
+        if (reading == OW_NET_LATER)
             return;
-        if (n <= 0) {
+        if (reading == OW_NET_CLOSED) {
             ow_http_connection_close(connection);
             return;
         }
         connection->active_at = ow_loop_now(connection->server->loop);
-        if (!take_bytes(connection, buffer, (size_t)n) || (size_t)n < sizeof buffer)
+        if (!take_bytes(connection, buffer, size) || size < sizeof buffer)
             return;
     }
 }
--- a/src/io/net.c
+++ b/src/io/net.c
@@ -35,8 +35,12 @@
     return parse_endpoint(endpoint, &addr);
 }
 
-static int new_socket(void)
+/* A socket for the endpoint, whose address is stored; -1: it is no endpoint, or there is no socket to be had.
+ */
+static int new_socket(const char *endpoint, struct sockaddr_in *addr)
 {
+    if (!parse_endpoint(endpoint, addr))
+        return -1;
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd >= 0) {
         int one = 1;
@@ -48,9 +52,7 @@
 int ow_net_listen(const char *endpoint)
 {
     struct sockaddr_in addr;
-    if (!parse_endpoint(endpoint, &addr))
-        return -1;
-    int fd = new_socket();
+    int fd = new_socket(endpoint, &addr);
     if (fd < 0)
         return -1;
     int one = 1;
@@ -65,9 +67,7 @@
 int ow_net_connect(const char *endpoint)
 {
     struct sockaddr_in addr;
-    if (!parse_endpoint(endpoint, &addr))
-        return -1;
-    int fd = new_socket();
+    int fd = new_socket(endpoint, &addr);
     if (fd < 0)
         return -1;
     if (connect(fd, (struct sockaddr *)&addr, sizeof addr) != 0 && errno != EINPROGRESS) {
@@ -112,6 +112,21 @@
     return true;
 }
 
+enum ow_net_reading ow_net_read(int fd, char *buffer, size_t size, size_t *taken)
+{
+    ssize_t count;
+    *taken = 0;
+    do
+        count = recv(fd, buffer, size, 0);
+    while (count < 0 && errno == EINTR);
+    if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        return OW_NET_LATER;
+    if (count <= 0)
+        return OW_NET_CLOSED;
+    *taken = (size_t)count;
+    return OW_NET_DATA;
+}
+
 bool ow_net_has_hung_up(int fd)
 {
     char byte;
--- a/src/io/net.h
+++ b/src/io/net.h
@@ -21,6 +21,16 @@
    when the connection is broken. */
 bool ow_net_flush(int fd, GString *out, size_t *sent);
 
+/* What reading from a socket came to. */
+enum ow_net_reading {
+    OW_NET_DATA,   /* some bytes */
+    OW_NET_LATER,  /* none so far */
+    OW_NET_CLOSED, /* the other side has ended the connection, or it is broken */
+};
+
+/* Reads up to `size` bytes; *taken tells how many with OW_NET_DATA, and is 0 otherwise. */
+enum ow_net_reading ow_net_read(int fd, char *buffer, size_t size, size_t *taken);
+
 /* Whether the other side has closed the connection, as far as that is known here. */
 bool ow_net_has_hung_up(int fd);
 
--- a/src/io/peer_link.c
+++ b/src/io/peer_link.c
@@ -155,23 +155,22 @@
     char buffer[READ_BYTES];
     (void)events;
     for (;;) {
-        ssize_t n = recv(link->watch.fd, buffer, sizeof buffer, 0);
-        if (n < 0 && errno == EINTR)
-            continue;
-        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        size_t size = 0;
+        enum ow_net_reading reading = ow_net_read(link->watch.fd, buffer, sizeof buffer, &size);
+        if (reading == OW_NET_LATER)
             return;
-        if (n <= 0) {
+        if (reading == OW_NET_CLOSED) {
             close_incoming(link);
             return;
         }
-        g_string_append_len(link->received, buffer, n);
+        g_string_append_len(link->received, buffer, (gssize)size);
         link->heard_at = ow_loop_now(link->links->loop);
         if (!take_frames(link)) {
             g_info("a peer sent what is no message: its link is cut");
             close_incoming(link);
             return;
         }
-        if ((size_t)n < sizeof buffer)
+        if (size < sizeof buffer)
             return;
     }
 }
