--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -2,6 +2,7 @@
 
 #include "io/http_parse.h"
 #include "io/http_status.h"
+#include "io/idle_connections.h"
 #include "io/net.h"
 
 #include <glib.h>
@@ -13,7 +14,7 @@
 enum { BODY_LIMIT_BYTES = 4 * 1024 * 1024, READ_BYTES = 16 * 1024 };
 
 /* A connection, and the request that is under way on it, if any. */
-struct connection {
+struct ow_client_connection {
     struct ow_http_client *client;
     struct ow_watch watch; /* fd -1: could not even begin */
     char *endpoint;
@@ -31,44 +32,15 @@
     ow_http_reply_fn reply;
     void *owner;
     GPtrArray *connections; /* busy and idle, owned */
-    GHashTable *idle;       /* endpoint -> GPtrArray of idle struct connection: thousands may be open */
-    unsigned most;          /* with more than these open, idle ones are closed */
+    struct ow_idle_connections *idle;
+    unsigned most; /* with more than these open, idle ones are closed */
 };
 
-static void note_idle(struct connection *connection)
-{
-    GHashTable *idle = connection->client->idle;
-    GPtrArray *connections = g_hash_table_lookup(idle, connection->endpoint);
-    if (connections == NULL) {
-        connections = g_ptr_array_new();
-        g_hash_table_insert(idle, g_strdup(connection->endpoint), connections);
-    }
-    g_ptr_array_add(connections, connection);
-    connection->busy = false;
-}
-
-/* The connection is idle no more: it gets a request, or is closed. */
-static void forget_idle(struct connection *connection)
-{
-    GHashTable *idle = connection->client->idle;
-    GPtrArray *connections = g_hash_table_lookup(idle, connection->endpoint);
-    if (connections == NULL || !g_ptr_array_remove_fast(connections, connection))
-        return;
-    if (connections->len == 0)
-        g_hash_table_remove(idle, connection->endpoint);
-}
-
-static void free_idle_connections(gpointer data)
-{
-    g_ptr_array_free(data, TRUE);
-}
-
 /* Frees what the array of connections owns. */
 static void release_connection(gpointer data)
 {
-    struct connection *connection = data;
-    if (!connection->busy)
-        forget_idle(connection);
+    struct ow_client_connection *connection = data;
+    ow_idle_connections_remove(connection->client->idle, connection->endpoint, connection);
     if (connection->watch.fd >= 0) {
         ow_loop_forget(connection->client->loop, &connection->watch);
         close(connection->watch.fd);
@@ -79,13 +51,13 @@
     g_free(connection);
 }
 
-static void close_connection(struct connection *connection)
+static void close_connection(struct ow_client_connection *connection)
 {
     g_ptr_array_remove_fast(connection->client->connections, connection);
 }
 
 /* Closes the connection and answers the request under way on it, if any, with a status of our own. */
-static void fail_with(struct connection *connection, enum ow_http_status status)
+static void fail_with(struct ow_client_connection *connection, enum ow_http_status status)
 {
     struct ow_http_client *client = connection->client;
     bool busy = connection->busy;
@@ -95,12 +67,12 @@
         client->reply(client->owner, tag, status, "", 0);
 }
 
-static void fail(struct connection *connection)
+static void fail(struct ow_client_connection *connection)
 {
     fail_with(connection, OW_HTTP_STATUS_NONE);
 }
 
-static void finish(struct connection *connection)
+static void finish(struct ow_client_connection *connection)
 {
     struct ow_http_client *client = connection->client;
     GString *body = connection->parser.body;
@@ -111,7 +83,8 @@
         close_connection(connection);
     } else {
         ow_http_parser_reset(&connection->parser);
-        note_idle(connection);
+        connection->busy = false;
+        ow_idle_connections_add(client->idle, connection->endpoint, connection);
         connection->deadline = ow_loop_now(client->loop) + IDLE_CLOSE_S;
     }
     client->reply(client->owner, tag, status, body->str, body->len);
@@ -119,7 +92,7 @@
 }
 
 /* False when the connection is gone or the request has ended. */
-static bool push_out(struct connection *connection)
+static bool push_out(struct ow_client_connection *connection)
 {
     if (!ow_net_flush(connection->watch.fd, connection->out, &connection->sent)) {
         fail(connection);
@@ -130,7 +103,7 @@
     return true;
 }
 
-static void read_ready(struct connection *connection)
+static void read_ready(struct ow_client_connection *connection)
 {
     char buffer[READ_BYTES];
     for (;;) {
@@ -159,7 +132,7 @@
 
 static void connection_ready(void *owner, uint32_t events)
 {
-    struct connection *connection = owner;
+    struct ow_client_connection *connection = owner;
     if (events & EPOLLOUT) {
         if (ow_net_connect_error(connection->watch.fd) != 0) {
             fail(connection);
@@ -172,17 +145,11 @@
         read_ready(connection);
 }
 
-static struct connection *idle_connection(const struct ow_http_client *client, const char *endpoint)
-{
-    const GPtrArray *connections = g_hash_table_lookup(client->idle, endpoint);
-    return connections != NULL ? g_ptr_array_index(connections, connections->len - 1) : NULL;
-}
-
-static struct connection *longest_idle(const struct ow_http_client *client)
+static struct ow_client_connection *longest_idle(const struct ow_http_client *client)
 {
-    struct connection *longest = NULL;
+    struct ow_client_connection *longest = NULL;
     for (guint i = 0; i < client->connections->len; i++) {
-        struct connection *connection = g_ptr_array_index(client->connections, i);
+        struct ow_client_connection *connection = g_ptr_array_index(client->connections, i);
         if (!connection->busy && (longest == NULL || connection->deadline < longest->deadline))
             longest = connection;
     }
@@ -194,15 +161,15 @@
 {
     if (client->connections->len < client->most)
         return true;
-    struct connection *connection = longest_idle(client);
+    struct ow_client_connection *connection = longest_idle(client);
     if (connection != NULL)
         close_connection(connection);
     return connection != NULL && client->connections->len < client->most;
 }
 
-static struct connection *open_connection(struct ow_http_client *client, const char *endpoint)
+static struct ow_client_connection *open_connection(struct ow_http_client *client, const char *endpoint)
 {
-    struct connection *connection = g_new0(struct connection, 1);
+    struct ow_client_connection *connection = g_new0(struct ow_client_connection, 1);
     connection->client = client;
     connection->busy = true;
     connection->endpoint = g_strdup(endpoint);
@@ -225,7 +192,7 @@
     client->reply = reply;
     client->owner = owner;
     client->connections = g_ptr_array_new_with_free_func(release_connection);
-    client->idle = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_idle_connections);
+    client->idle = ow_idle_connections_new();
     return client;
 }
 
@@ -234,19 +201,19 @@
     if (client == NULL)
         return;
     g_ptr_array_free(client->connections, TRUE);
-    g_hash_table_destroy(client->idle);
+    ow_idle_connections_free(client->idle);
     g_free(client);
 }
 
 void ow_http_client_send(struct ow_http_client *client, const char *endpoint, const char *method,
                          const char *path, const char *body, double timeout_s, uint64_t tag)
 {
-    struct connection *connection = idle_connection(client, endpoint);
+    struct ow_client_connection *connection = ow_idle_connections_find(client->idle, endpoint);
     if (connection == NULL) {
         make_room(client); /* but who sends without having asked for room is in need of it */
         connection = open_connection(client, endpoint);
     }
-    forget_idle(connection);
+    ow_idle_connections_remove(client->idle, endpoint, connection);
     connection->busy = true;
     connection->overdue = false;
     connection->tag = tag;
@@ -269,7 +236,7 @@
     for (guint i = client->connections->len; i > 0; i--) {
         if (i > client->connections->len)
             continue;
-        struct connection *connection = g_ptr_array_index(client->connections, i - 1);
+        struct ow_client_connection *connection = g_ptr_array_index(client->connections, i - 1);
         bool awaits_answer = connection->busy && connection->watch.fd >= 0 && connection->out->len == 0;
         if (awaits_answer && strcmp(connection->endpoint, endpoint) == 0)
             read_ready(connection);
@@ -283,13 +250,13 @@
 
 bool ow_http_client_has_room(struct ow_http_client *client, const char *endpoint)
 {
-    return idle_connection(client, endpoint) != NULL || make_room(client);
+    return ow_idle_connections_find(client->idle, endpoint) != NULL || make_room(client);
 }
 
 /* Connections to many machines must not use up the sockets that reports need. */
 static void close_surplus(struct ow_http_client *client)
 {
-    struct connection *connection;
+    struct ow_client_connection *connection;
     while (client->connections->len > client->most && (connection = longest_idle(client)) != NULL)
         close_connection(connection);
 }
@@ -300,7 +267,7 @@
     for (guint i = client->connections->len; i > 0; i--) {
         if (i > client->connections->len)
             continue;
-        struct connection *connection = g_ptr_array_index(client->connections, i - 1);
+        struct ow_client_connection *connection = g_ptr_array_index(client->connections, i - 1);
         if (now < connection->deadline)
             continue;
         bool may_have_come = connection->busy && connection->watch.fd >= 0 && connection->out->len == 0;
