--- a/src/core/machines/machine.h
+++ b/src/core/machines/machine.h
@@ -36,6 +36,7 @@
 
     /* Liveness: reports.c, worker_commands.c and machine_health.c. */
     double met_at;           /* when this leader first learnt of it */
+    double first_message_at; /* arrival of the first message of any kind; 0: none has come */
     double last_message_at;  /* arrival of its newest message of any kind; 0: none has come */
     double last_report_at;   /* arrival of its newest report; an answer to a command renews no lease */
     double unanswered_since; /* commands find no answer since then; 0: it answers */
--- a/src/core/machines/machine_health.c
+++ b/src/core/machines/machine_health.c
@@ -88,7 +88,9 @@
     if (machine->fenced)
         return machine->unanswered_since > 0 ? now - machine->unanswered_since : 0;
     bool expected = machine->last_message_at > 0 || machine->attempts->len > 0;
-    return expected ? now - MAX(machine->met_at, leader->ready_at) : 0;
+    /* One that boots can't answer: what counts is the time since it has spoken. */
+    double since = MAX(MAX(machine->met_at, leader->ready_at), machine->first_message_at);
+    return expected ? now - since : 0;
 }
 
 /* A machine that is unresponsive, whether or not it reports: reports alone are no sign of health. Its tasks
--- a/src/core/machines/reports.c
+++ b/src/core/machines/reports.c
@@ -204,6 +204,8 @@
     end_older_sessions(leader, machine);
     machine->listed = OW_LISTED_RUNNING;
     machine->last_message_at = leader->controller->now;
+    if (machine->first_message_at == 0)
+        machine->first_message_at = leader->controller->now;
     machine->seq = report->seq;
 }
 
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -197,6 +197,27 @@
     world_finish(w);
 }
 
+/* A machine that boots for longer than an unresponsive one is left alone is not returned when it reports at
+ * last. */
+static void test_slow_boot_is_not_taken_for_unresponsive(void **state)
+{
+    (void)state;
+    struct world *w = world_new();
+    for (int i = 0; i < WORLD_CONTROLLERS; i++)
+        w->settings[i].lease_s = 6; /* an unresponsive machine without tasks is left alone for three leases */
+    world_start_controllers(w);
+    world_add_machines(w, 1);
+    struct world_machine *slow = world_add_machine(w, "slow", "big", "east", false);
+    slow->up_at = slow->renewed_at = w->now + 24;
+    world_run(w, 4);
+    w->run_s = 300;
+    world_submit(w, 0, world_job("run-1", 2, 16));
+    world_run(w, 40);
+    assert_false(slow->gone);
+    assert_int_equal(slow->starts, 1);
+    world_finish(w);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -209,6 +230,7 @@
         cmocka_unit_test(test_inherited_attempts_count_against_the_limit),
         cmocka_unit_test(test_higher_token_deposes_the_leader),
         cmocka_unit_test(test_successor_does_not_ask_machines_that_boot),
+        cmocka_unit_test(test_slow_boot_is_not_taken_for_unresponsive),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
