--- a/tests/test_isolation.c
+++ b/tests/test_isolation.c
@@ -159,6 +159,29 @@
     world_finish(w);
 }
 
+/* A controller that was cut off for long has missed more changes than it takes in at once: it reads the table
+ * again, page by page, and does not ask for the same changes for ever. */
+static void test_too_many_missed_changes_are_read_by_pages(void **state)
+{
+    (void)state;
+    struct world *w = world_with_machines(2);
+    int follower = world_follower(w);
+    w->isolated_controller = follower;
+    w->changes_most = 5;
+    char id[16];
+    for (int n = 1; n <= 12; n++) {
+        g_snprintf(id, sizeof id, "run-%d", n);
+        world_submit(w, world_leader(w), world_job(id, 1, 1));
+        world_run(w, 1);
+    }
+    w->isolated_controller = -1;
+    world_run(w, 20);
+    uint64_t request = world_poll(w, follower, id);
+    world_run(w, 3);
+    assert_int_equal(world_status(w, request), 200);
+    world_finish(w);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -169,6 +192,7 @@
         cmocka_unit_test(test_every_poll_is_answered),
         cmocka_unit_test(test_job_is_retried_on_machines_that_failed_it),
         cmocka_unit_test(test_work_continues_without_free_sockets),
+        cmocka_unit_test(test_too_many_missed_changes_are_read_by_pages),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -193,6 +193,43 @@
     world_finish(w);
 }
 
+/* Machines that are up after a class had run on six of them and its last job ended `seconds` ago; `busy` says
+ * that another job of it comes every ten seconds, and ends at once. */
+static unsigned machines_kept(double seconds, bool busy)
+{
+    struct world *w = world_with_one_controller();
+    static char class_name[] = "class";
+    struct ow_objective start = {
+        .kind = OW_OBJECTIVE_WAIT, .class_name = class_name, .within_s = 5, .share = 1};
+    g_array_append_val(w->settings[0].objectives, start);
+    world_add_machines(w, 6);
+    world_run(w, 6);
+    w->run_s = 20;
+    world_submit(w, 0, world_job("run-1", 6, 16));
+    assert_true(world_until(w, 60, world_all_done, "run-1"));
+    w->run_s = 1;
+    for (double end = w->now + seconds; w->now < end;) {
+        char id[16];
+        g_snprintf(id, sizeof id, "run-%d", 100 + (int)w->now);
+        if (busy)
+            world_submit(w, 0, world_job(id, 1, 16));
+        world_run(w, 10);
+    }
+    unsigned kept = 0;
+    for (guint i = 0; i < w->machines->len; i++)
+        kept += world_machine_at(w, i)->gone ? 0 : 1;
+    world_finish(w);
+    return kept;
+}
+
+/* Headroom follows a peak that fades for minutes: a class of which no job comes any more needs none of it. */
+static void test_quiet_class_keeps_no_machines(void **state)
+{
+    (void)state;
+    assert_int_equal(machines_kept(160, false), 0);
+    assert_true(machines_kept(160, true) >= 3);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -204,6 +241,7 @@
         cmocka_unit_test(test_large_array_completes),
         cmocka_unit_test(test_growing_records_move_to_another_value),
         cmocka_unit_test(test_services_spread_over_machines),
+        cmocka_unit_test(test_quiet_class_keeps_no_machines),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_sockets.c
+++ b/tests/test_sockets.c
@@ -126,6 +126,64 @@
     close_bench(&bench);
 }
 
+/* A request of which the server holds the answer back. */
+static void send_held_request(struct bench *bench)
+{
+    bench->silent = true;
+    bench->waiting = 0;
+    ow_http_client_send(bench->client, endpoint, "GET", "/", NULL, 3, 7);
+    for (int i = 0; i < 100 && bench->waiting == 0; i++)
+        ow_loop_once(bench->loop, sweep_idle, bench);
+    assert_int_equal(bench->replies, 0);
+}
+
+/* A loop that is behind finds the answer in the socket after the deadline: it is no time-out, and sent again
+   the request would only add to the load. */
+static void test_answer_that_has_come_is_no_time_out(void **state)
+{
+    (void)state;
+    struct bench bench;
+    open_bench(&bench);
+    send_held_request(&bench);
+    ow_http_server_answer(bench.server, bench.waiting, 200, NULL, "here", 4);
+    ow_http_client_sweep(bench.client, ow_loop_now(bench.loop) + 100);
+    assert_int_equal(bench.replies, 1);
+    assert_int_equal(bench.status, 200);
+    assert_string_equal(bench.body->str, "here");
+    close_bench(&bench);
+}
+
+static void test_answers_of_one_endpoint_are_read_first(void **state)
+{
+    (void)state;
+    struct bench bench;
+    open_bench(&bench);
+    send_held_request(&bench);
+    ow_http_server_answer(bench.server, bench.waiting, 200, NULL, "here", 4);
+    ow_http_client_read_from(bench.client, "127.0.0.1:1");
+    assert_int_equal(bench.replies, 0);
+    ow_http_client_read_from(bench.client, endpoint);
+    assert_int_equal(bench.replies, 1);
+    assert_int_equal(bench.status, 200);
+    close_bench(&bench);
+}
+
+/* Whoever asked must know that asking again would bring the same. */
+static void test_too_large_answer_is_told_from_none(void **state)
+{
+    (void)state;
+    struct bench bench;
+    open_bench(&bench);
+    send_held_request(&bench);
+    size_t size = 5 * 1024 * 1024;
+    char *body = g_strnfill(size, 'x');
+    ow_http_server_answer(bench.server, bench.waiting, 200, NULL, body, size);
+    run_until_reply(&bench, 1);
+    assert_int_equal(bench.status, 413);
+    g_free(body);
+    close_bench(&bench);
+}
+
 /* Sends raw bytes to the server; returns its response up to the end of the connection or a pause. */
 static void exchange_bytes(struct bench *bench, const char *bytes, char *answer, size_t size)
 {
@@ -267,6 +325,9 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_requests_and_keep_alive),
         cmocka_unit_test(test_time_out_and_refusal),
+        cmocka_unit_test(test_answer_that_has_come_is_no_time_out),
+        cmocka_unit_test(test_answers_of_one_endpoint_are_read_first),
+        cmocka_unit_test(test_too_large_answer_is_told_from_none),
         cmocka_unit_test(test_malformed_requests_are_answered_and_closed),
         cmocka_unit_test(test_connections_are_bounded),
         cmocka_unit_test(test_idle_connections_are_evicted),
--- a/tests/world.h
+++ b/tests/world.h
@@ -87,6 +87,7 @@
     bool lose_txn_answers; /* transactions are applied, and their responses are lost */
     double state_slow_s;   /* additional latency of the state service */
     int slow_controller;   /* the only one with that latency; -1: all */
+    guint changes_most;    /* a watch with more changes is answered as too large; 0: none is */
     bool silent_watches;   /* open watches report nothing before they time out */
     bool peers_cut;        /* no message passes between controllers */
     bool keep_held;        /* delayed transactions stay delayed */
--- a/tests/world_state.c
+++ b/tests/world_state.c
@@ -124,11 +124,20 @@
     g_ptr_array_free(keys, TRUE);
 }
 
+/* Answers a watch, taking over the changes: with too many of them the client takes in none. */
+static void answer_changes(struct world *w, int controller, uint64_t nonce, uint64_t tag, GArray *items)
+{
+    bool too_large = w->changes_most > 0 && items->len > w->changes_most;
+    if (too_large)
+        g_array_set_size(items, 0);
+    answer_store(w, controller, nonce, tag, too_large ? 413 : 200, items, 0, NULL);
+}
+
 static void do_follow(struct world *w, int controller, uint64_t nonce, const struct ow_store_request *request)
 {
     GArray *items = world_changes_since(w, request->key, request->number);
     if (items->len > 0 || request->seconds <= 0) {
-        answer_store(w, controller, nonce, request->tag, 200, items, 0, NULL);
+        answer_changes(w, controller, nonce, request->tag, items);
         return;
     }
     g_array_free(items, TRUE);
@@ -285,7 +294,7 @@
             g_array_free(items, TRUE);
             continue;
         }
-        answer_store(w, follow->controller, follow->nonce, follow->tag, 200, items, 0, NULL);
+        answer_changes(w, follow->controller, follow->nonce, follow->tag, items);
         free_follow(follow);
         g_ptr_array_remove_index_fast(w->follows, i - 1);
     }
