--- a/tests/test_sockets.c
+++ b/tests/test_sockets.c
@@ -175,7 +175,8 @@
     struct bench bench;
     open_bench(&bench);
     send_held_request(&bench);
-    size_t size = 5 * 1024 * 1024;
+    enum { TOO_LARGE_BYTES = 5 * 1024 * 1024 };
+    size_t size = TOO_LARGE_BYTES;
     char *body = g_strnfill(size, 'x');
     ow_http_server_answer(bench.server, bench.waiting, 200, NULL, body, size);
     run_until_reply(&bench, 1);
