One flag for a due command, and other doubles of the last changes

Read once more: direct_listed always equalled direct_wanted, so one of them is enough, and a machine leaves the list by its index instead of by a search through all that are due. Whether a request awaits its answer, whether an objective is for a start, the rates of large test fleets and the order of two jobs in the tests of deadlines stood twice. A comment stood above the wrong constants. Behaviour and assertions are as they were.

--- a/src/core/api/job_cache.c
+++ b/src/core/api/job_cache.c
@@ -7,9 +7,9 @@
 
 #include <string.h>
 
-/* How long a watch may stay open, and the least time between two reads of one kind. */
 /* The state service no longer holds the changes asked for; an answer was larger than the client takes. */
 enum { STATUS_GONE = 410, STATUS_TOO_LARGE = 413 };
+/* How long a watch may stay open, and the least time between two reads of one kind. */
 static const double WATCH_S = 10, WATCH_GAP_LEADER_S = 0.1, WATCH_GAP_S = 1.0, FRESH_GAP_S = 0.05,
                     RETRY_S = 0.5, READ_SHARE = 0.4;
 
--- a/src/core/machines/machine.h
+++ b/src/core/machines/machine.h
@@ -57,8 +57,8 @@
     double idle_since;
 
     /* Direct commands: worker_commands.c. */
-    bool direct_busy, direct_wanted; /* a call is under way; a call is due */
-    bool direct_listed;              /* it is on the leader's list of machines that are due a call */
+    bool direct_busy;                /* a call is under way */
+    bool direct_wanted;              /* a call is due: it is on the leader's list */
     double direct_at;                /* no call before this time */
     GArray *direct_launches;         /* struct ow_unacknowledged_launch of the call under way */
     GArray *unacknowledged_launches; /* struct ow_unacknowledged_launch of earlier calls without an answer */
--- a/src/core/machines/worker_commands.c
+++ b/src/core/machines/worker_commands.c
@@ -143,7 +143,6 @@
     struct direct_call *call = g_new0(struct direct_call, 1);
     *call = (struct direct_call){g_strdup(machine->name), leader->controller->now, is_unheard(machine)};
     leader->probes += call->is_probe ? 1 : 0;
-    machine->direct_wanted = false;
     machine->direct_busy = true;
     effect->commands = ow_worker_commands_for(leader, machine, machine->direct_launches);
     effect->text = g_strdup(machine->addr);
@@ -156,10 +155,9 @@
 
 void ow_worker_commands_want(struct ow_leader *leader, struct ow_machine *machine)
 {
-    machine->direct_wanted = true;
-    if (machine->direct_listed)
+    if (machine->direct_wanted)
         return;
-    machine->direct_listed = true;
+    machine->direct_wanted = true;
     g_ptr_array_add(leader->direct_due, machine);
 }
 
@@ -182,9 +180,9 @@
 
 void ow_worker_commands_forget(struct ow_leader *leader, struct ow_machine *machine)
 {
-    if (machine->direct_listed)
+    if (machine->direct_wanted)
         g_ptr_array_remove_fast(leader->direct_due, machine);
-    machine->direct_listed = false;
+    machine->direct_wanted = false;
 }
 
 /* Whether the machine can be sent a direct command now. */
@@ -208,8 +206,6 @@
  * alone. */
 static bool is_direct_needed(const struct ow_leader *leader, const struct ow_machine *machine)
 {
-    if (!machine->direct_wanted)
-        return false;
     return !machine->fenced || is_unheard(machine) || !ow_machine_heard_recently(leader, machine) ||
            has_commands(machine);
 }
@@ -223,9 +219,9 @@
         bool needed = is_direct_needed(leader, machine);
         if (needed && !is_direct_possible(leader, machine))
             continue;
+        machine->direct_wanted = false;
+        g_ptr_array_remove_index_fast(leader->direct_due, i - 1);
         if (needed)
             send_direct(leader, machine);
-        machine->direct_wanted = false;
-        ow_worker_commands_forget(leader, machine);
     }
 }
--- a/src/core/scheduling/classes.c
+++ b/src/core/scheduling/classes.c
@@ -126,6 +126,11 @@
     return slack < INFINITY ? slack : NO_OBJECTIVE_SLACK_S;
 }
 
+static bool is_start_objective(const struct ow_objective *objective, const char *class_name)
+{
+    return objective->kind == OW_OBJECTIVE_WAIT && strcmp(objective->class_name, class_name) == 0;
+}
+
 unsigned ow_class_missed(struct ow_controller *controller, int class_index, double age_s)
 {
     const char *name = ow_names_text(controller->names.classes, class_index);
@@ -133,9 +138,7 @@
     for (guint i = 0; i < controller->settings->objectives->len; i++) {
         const struct ow_objective *objective =
             &g_array_index(controller->settings->objectives, struct ow_objective, i);
-        if (objective->kind != OW_OBJECTIVE_WAIT || strcmp(objective->class_name, name) != 0)
-            continue;
-        if (age_s > objective->within_s)
+        if (is_start_objective(objective, name) && age_s > objective->within_s)
             missed++;
     }
     return missed;
@@ -148,9 +151,7 @@
     for (guint i = 0; i < controller->settings->objectives->len; i++) {
         const struct ow_objective *objective =
             &g_array_index(controller->settings->objectives, struct ow_objective, i);
-        if (objective->kind != OW_OBJECTIVE_WAIT || strcmp(objective->class_name, name) != 0)
-            continue;
-        if (objective->within_s > age_s)
+        if (is_start_objective(objective, name) && objective->within_s > age_s)
             next_s = MIN(next_s, objective->within_s);
     }
     return next_s;
--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -231,14 +231,19 @@
         connection->deadline = 0; /* the sweep reports it */
 }
 
+/* Whether a request has left on the connection, so that its answer may lie in the socket. */
+static bool awaits_answer(const struct ow_client_connection *connection)
+{
+    return connection->busy && connection->watch.fd >= 0 && connection->out->len == 0;
+}
+
 void ow_http_client_read_from(struct ow_http_client *client, const char *endpoint)
 {
     for (guint i = client->connections->len; i > 0; i--) {
         if (i > client->connections->len)
             continue;
         struct ow_client_connection *connection = g_ptr_array_index(client->connections, i - 1);
-        bool awaits_answer = connection->busy && connection->watch.fd >= 0 && connection->out->len == 0;
-        if (awaits_answer && strcmp(connection->endpoint, endpoint) == 0)
+        if (awaits_answer(connection) && strcmp(connection->endpoint, endpoint) == 0)
             read_ready(connection);
     }
 }
@@ -270,8 +275,7 @@
         struct ow_client_connection *connection = g_ptr_array_index(client->connections, i - 1);
         if (now < connection->deadline)
             continue;
-        bool may_have_come = connection->busy && connection->watch.fd >= 0 && connection->out->len == 0;
-        if (connection->overdue || !may_have_come) {
+        if (connection->overdue || !awaits_answer(connection)) {
             fail(connection);
             continue;
         }
--- a/tests/test_deadlines.c
+++ b/tests/test_deadlines.c
@@ -23,6 +23,12 @@
     return w;
 }
 
+static void assert_starts_first(struct world *w, const char *first, const char *second)
+{
+    assert_true(world_until(w, 40, world_some_running, first));
+    assert_int_equal(world_running(w, second), 0);
+}
+
 static void test_feasible_deadline_goes_before_a_missed_one(void **state)
 {
     (void)state;
@@ -30,8 +36,7 @@
     world_submit(w, 0, array_with_deadline(2, 20, 15)); /* it would take until 20 s after its submission */
     world_run(w, 1);
     world_submit(w, 0, array_with_deadline(3, 20, 90));
-    assert_true(world_until(w, 40, world_some_running, "run-3"));
-    assert_int_equal(world_running(w, "run-2"), 0);
+    assert_starts_first(w, "run-3", "run-2");
     assert_true(world_until(w, 60, world_all_done, "run-2"));
     world_finish(w);
 }
@@ -44,8 +49,7 @@
     world_submit(w, 0, array_with_deadline(2, 20, 0));
     world_run(w, 1);
     world_submit(w, 0, array_with_deadline(3, 20, 0));
-    assert_true(world_until(w, 40, world_some_running, "run-2"));
-    assert_int_equal(world_running(w, "run-3"), 0);
+    assert_starts_first(w, "run-2", "run-3");
     world_finish(w);
 }
 
@@ -57,8 +61,7 @@
     world_submit(w, 0, array_with_deadline(2, 40, 2000));
     world_run(w, 1);
     world_submit(w, 0, array_with_deadline(3, 5, 100));
-    assert_true(world_until(w, 40, world_some_running, "run-3"));
-    assert_int_equal(world_running(w, "run-2"), 0);
+    assert_starts_first(w, "run-3", "run-2");
     world_finish(w);
 }
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -9,25 +9,10 @@
 /* Checks of each machine in ten seconds: a hundred rounds, with some lists for each of three classes. */
 enum { LOOKS_MOST = 2000 };
 
-static void set_rates(struct world *w)
-{
-    for (int i = 0; i < WORLD_CONTROLLERS; i++) {
-        struct ow_settings *settings = &w->settings[i];
-        settings->report_s = 5;
-        settings->lease_s = 26.5;
-        settings->cancel_s = 46.5;
-        settings->state_rps = 400;
-        settings->state_write_rps = 150;
-        settings->value_kb = w->value_kb = 16;
-        settings->txn_ops = w->txn_ops = 48;
-        settings->cloud_rps = 7;
-    }
-}
-
 static struct world *fleet_world(void)
 {
     struct world *w = world_new();
-    set_rates(w);
+    world_set_large_rates(w);
     w->capacity = MACHINES;
     world_start_controllers(w);
     for (int i = 0; i < MACHINES; i++) {
--- a/tests/test_large_fleet.c
+++ b/tests/test_large_fleet.c
@@ -10,17 +10,9 @@
 static struct world *large_world(void)
 {
     struct world *w = world_new();
-    for (int i = 0; i < WORLD_CONTROLLERS; i++) {
-        w->settings[i].report_s = 5;
-        w->settings[i].lease_s = 26.5;
-        w->settings[i].cancel_s = 46.5;
-        w->settings[i].state_rps = 400;
-        w->settings[i].state_write_rps = 150;
-        w->settings[i].value_kb = w->value_kb = 16;
-        w->settings[i].txn_ops = w->txn_ops = 48;
-        w->settings[i].cloud_rps = 7;
+    world_set_large_rates(w);
+    for (int i = 0; i < WORLD_CONTROLLERS; i++)
         w->settings[i].sockets = 2 * MACHINES;
-    }
     world_start_controllers(w);
     for (int i = 0; i < MACHINES; i++) {
         char name[16];
--- a/tests/world.h
+++ b/tests/world.h
@@ -129,6 +129,8 @@
 
 /** A cluster without machines; no controller runs. */
 struct world *world_new(void);
+/** Sets the rates and limits of the largest deployments. */
+void world_set_large_rates(struct world *w);
 /** A cluster with all controllers and as many large machines in one zone, some seconds after the start. */
 struct world *world_with_machines(int machines);
 /** The same, with as many machines that can be rented. */
--- a/tests/world_setup.c
+++ b/tests/world_setup.c
@@ -3,6 +3,21 @@
 
 #include "check.h"
 
+void world_set_large_rates(struct world *w)
+{
+    for (int i = 0; i < WORLD_CONTROLLERS; i++) {
+        struct ow_settings *settings = &w->settings[i];
+        settings->report_s = 5;
+        settings->lease_s = 26.5;
+        settings->cancel_s = 46.5;
+        settings->state_rps = 400;
+        settings->state_write_rps = 150;
+        settings->value_kb = w->value_kb = 16;
+        settings->txn_ops = w->txn_ops = 48;
+        settings->cloud_rps = 7;
+    }
+}
+
 struct world *world_with_machines(int machines)
 {
     struct world *w = world_new();
