--- a/src/config/cmdline.c
+++ b/src/config/cmdline.c
@@ -10,7 +10,9 @@
                               "  ospreywell submit FILE   hands in a job (JSON; - for standard input)\n"
                               "  ospreywell show ID       tells a job's state, and why it waits\n"
                               "  ospreywell cancel ID     cancels a job\n"
-                              "  ospreywell teams         tells what each team runs and waits for";
+                              "  ospreywell teams         tells what each team runs and waits for\n"
+                              "  ospreywell controllers   tells which controllers are alive or suspected\n"
+                              "  ospreywell shards        tells who leads each shard, since when and why";
 
 int ow_cmdline_parse(int argc, char **argv, struct ow_cmdline *out)
 {
--- /dev/null
+++ b/src/control/effect_guard.h
@@ -0,0 +1,12 @@
+/* Takes out of an effect what the lease does not cover. */
+#ifndef OW_CONTROL_EFFECT_GUARD_H
+#define OW_CONTROL_EFFECT_GUARD_H
+
+#include "control/lease_guard.h"
+#include "core/effects.h"
+
+/* Whether something was taken out. *refusal becomes the answer that the core gets instead of the effect,
+   where the effect must not leave at all; it belongs to the caller. */
+bool ow_effect_guard(struct ow_effect *effect, enum ow_lease_verdict verdict, struct ow_event **refusal);
+
+#endif
--- /dev/null
+++ b/src/control/lease_guard.c
@@ -0,0 +1,50 @@
+#include "control/lease_guard.h"
+
+enum { STATUS_NONE = 0, STATUS_OK = 200 };
+/* The state service's clock may run faster than ours by as much, and some more. */
+static const double CLOCK_DRIFT = 0.002;
+/* An effect may need as long from the check to the wire. */
+static const double MARGIN_S = 0.1;
+
+void ow_lease_guard_init(struct ow_lease_guard *guard, double lease_s)
+{
+    *guard = (struct ow_lease_guard){.lease_s = lease_s, .answered_at = -1};
+}
+
+void ow_lease_guard_requested(struct ow_lease_guard *guard, uint64_t tag, double now)
+{
+    guard->renewal = tag;
+    guard->renewal_at = now;
+}
+
+void ow_lease_guard_answered(struct ow_lease_guard *guard, uint64_t tag, int status)
+{
+    /* Whatever was answered before the pause may lie in a socket until after it: only the response to a
+       request sent since proves anything. */
+    if (tag != guard->renewal || status == STATUS_NONE)
+        return;
+    guard->renewal = 0;
+    if (guard->renewal_at >= guard->resumed_at)
+        guard->answered_at = guard->renewal_at;
+    /* The lease counts from when it was asked for, not from when the answer came. */
+    if (status == STATUS_OK)
+        guard->held_until = guard->renewal_at + guard->lease_s * (1 - CLOCK_DRIFT) - MARGIN_S;
+}
+
+void ow_lease_guard_resumed(struct ow_lease_guard *guard, double now)
+{
+    guard->resumed_at = now;
+}
+
+enum ow_lease_verdict ow_lease_guard_check(const struct ow_lease_guard *guard, double now)
+{
+#ifndef OW_FAULT_NO_LEASE_CHECK /* planted by tests/loopback, to see that its checker notices */
+    if (now < guard->held_until)
+        return OW_LEASE_HELD;
+    return guard->answered_at >= guard->resumed_at ? OW_LEASE_KEEP_ALIVE : OW_LEASE_UNPROVEN;
+#else
+    (void)guard;
+    (void)now;
+    return OW_LEASE_HELD;
+#endif
+}
--- /dev/null
+++ b/src/control/shard_keys.c
@@ -0,0 +1,80 @@
+#include "control/shard_keys.h"
+
+#include "core/records/records.h"
+
+#include <string.h>
+
+/* Before the name of a shard. No key without a shard begins with it. */
+#define SHARDS_PREFIX "shard/"
+
+char *ow_shard_prefix(const char *shard)
+{
+    return strcmp(shard, OW_DEFAULT_SHARD) == 0 ? NULL : g_strconcat(SHARDS_PREFIX, shard, "/", NULL);
+}
+
+static void qualify(char **key, const char *prefix)
+{
+    char *plain = *key;
+    *key = g_strconcat(prefix, plain, NULL);
+    g_free(plain);
+}
+
+void ow_shard_keys_qualify(struct ow_store_request *request, const char *prefix)
+{
+    if (prefix == NULL)
+        return;
+    if (request->key != NULL)
+        qualify(&request->key, prefix);
+    if (request->after != NULL)
+        qualify(&request->after, prefix);
+    for (guint i = 0; request->conditions != NULL && i < request->conditions->len; i++) {
+        struct ow_condition *condition = &g_array_index(request->conditions, struct ow_condition, i);
+        if (!g_str_has_prefix(condition->key, SHARDS_PREFIX))
+            qualify(&condition->key, prefix);
+    }
+    for (guint i = 0; request->changes != NULL && i < request->changes->len; i++)
+        qualify(&g_array_index(request->changes, struct ow_change, i).key, prefix);
+}
+
+static void strip(char *key, const char *prefix)
+{
+    size_t size = strlen(prefix);
+    if (key != NULL && strncmp(key, prefix, size) == 0)
+        memmove(key, key + size, strlen(key + size) + 1);
+}
+
+void ow_shard_keys_strip(struct ow_store_reply *reply, const char *prefix)
+{
+    if (prefix == NULL)
+        return;
+    for (guint i = 0; reply->items != NULL && i < reply->items->len; i++)
+        strip(g_array_index(reply->items, struct ow_store_item, i).key, prefix);
+    for (char **failed = reply->failed; failed != NULL && *failed != NULL; failed++)
+        strip(*failed, prefix);
+}
+
+/* The key of the job that the request accepts, or NULL. */
+static const char *accepted_job(const struct ow_store_request *request)
+{
+    if (request->op != OW_STORE_TXN || request->conditions->len != 1)
+        return NULL;
+    const struct ow_condition *condition = &g_array_index(request->conditions, struct ow_condition, 0);
+    bool is_new = condition->version == 0 && g_str_has_prefix(condition->key, OW_KEY_JOBS);
+    return is_new ? condition->key : NULL;
+}
+
+void ow_shard_keys_guard_new_job(struct ow_store_request *request, const GPtrArray *prefixes,
+                                 const char *own_prefix)
+{
+    const char *job = accepted_job(request);
+    char *copy = g_strdup(job);
+    for (guint i = 0; job != NULL && i < prefixes->len; i++) {
+        const char *prefix = g_ptr_array_index(prefixes, i);
+        if (prefix == NULL || g_strcmp0(prefix, own_prefix) == 0)
+            continue;
+        char *key = g_strconcat(prefix, copy, NULL);
+        ow_store_expect(request, key, 0);
+        g_free(key);
+    }
+    g_free(copy);
+}
--- /dev/null
+++ b/src/control/shard_map.c
@@ -0,0 +1,145 @@
+#include "control/shard_map.h"
+
+#include <string.h>
+
+static bool contains(char **list, const char *name)
+{
+    return name != NULL && g_strv_contains((const char *const *)list, name);
+}
+
+int ow_shard_map_machine(const struct ow_control_settings *control, const char *zone, const char *type)
+{
+    int rest = -1;
+    for (guint i = 0; i < control->shards->len; i++) {
+        const struct ow_shard_settings *shard = g_ptr_array_index(control->shards, i);
+        if (!contains(shard->zones, zone))
+            continue;
+        if (shard->types == NULL)
+            rest = (int)i;
+        else if (contains(shard->types, type))
+            return (int)i;
+    }
+    return rest;
+}
+
+static bool route_matches(const struct ow_route *route, const struct ow_submission *submission)
+{
+    if (route->class_name != NULL && strcmp(route->class_name, submission->class_name) != 0)
+        return false;
+    if (route->team != NULL && strcmp(route->team, submission->team) != 0)
+        return false;
+    return route->zone == NULL || g_strcmp0(route->zone, submission->zone) == 0;
+}
+
+char **ow_shard_map_route(const struct ow_control_settings *control, const struct ow_submission *submission)
+{
+    for (guint i = 0; i < control->routes->len; i++) {
+        const struct ow_route *route = g_ptr_array_index(control->routes, i);
+        if (route_matches(route, submission))
+            return route->shards;
+    }
+    return NULL;
+}
+
+/* ---- the values that must agree ---- */
+
+/* Takes over both texts. */
+static void add_value(GHashTable *values, char *name, char *value)
+{
+    g_hash_table_replace(values, name, value);
+}
+
+static char *words(char **list)
+{
+    return list != NULL ? g_strjoinv(" ", list) : g_strdup("(all others)");
+}
+
+static void add_shard(GHashTable *values, const struct ow_control_settings *control,
+                      const struct ow_shard_settings *shard, const struct ow_settings *platform)
+{
+    add_value(values, g_strdup_printf("shard %s: zones", shard->name), words(shard->zones));
+    add_value(values, g_strdup_printf("shard %s: types", shard->name), words(shard->types));
+    for (guint i = 0; i < platform->teams->len; i++) {
+        const struct ow_team_settings *team = &g_array_index(platform->teams, struct ow_team_settings, i);
+        double share = ow_control_settings_share(control, team->name, shard);
+        add_value(values, g_strdup_printf("shard %s: share of team %s", shard->name, team->name),
+                  g_strdup_printf("%.9g", share));
+    }
+}
+
+static void add_team(GHashTable *values, const struct ow_team_settings *team)
+{
+    add_value(values, g_strdup_printf("team %s", team->name),
+              g_strdup_printf("CPUs %g of %g, GPUs %g of %g", team->cpus, team->cpus_max, team->gpus,
+                              team->gpus_max));
+}
+
+GHashTable *ow_shard_map_values(const struct ow_control_settings *control, const struct ow_settings *platform,
+                                const struct ow_rules *rules)
+{
+    GHashTable *values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    GString *names = g_string_new(NULL);
+    for (guint i = 0; i < control->shards->len; i++) {
+        const struct ow_shard_settings *shard = g_ptr_array_index(control->shards, i);
+        g_string_append_printf(names, "%s%s", i > 0 ? " " : "", shard->name);
+        add_shard(values, control, shard, platform);
+    }
+    add_value(values, g_strdup("shards"), g_string_free(names, FALSE));
+    for (guint i = 0; i < platform->teams->len; i++)
+        add_team(values, &g_array_index(platform->teams, struct ow_team_settings, i));
+    add_value(values, g_strdup("election lease_s"), g_strdup_printf("%g", rules->leader_lease_s));
+    add_value(values, g_strdup("workers lease_s"), g_strdup_printf("%g", platform->lease_s));
+    return values;
+}
+
+static GList *sorted_names(GHashTable *values)
+{
+    return g_list_sort(g_hash_table_get_keys(values), (GCompareFunc)strcmp);
+}
+
+/* The difference in one value, or NULL. */
+static char *value_difference(const char *name, GHashTable *ours, GHashTable *stored)
+{
+    const char *our_value = g_hash_table_lookup(ours, name);
+    const char *stored_value = g_hash_table_lookup(stored, name);
+    if (g_strcmp0(our_value, stored_value) == 0)
+        return NULL;
+    return g_strdup_printf("%s: \"%s\" here, \"%s\" in the stored map", name,
+                           our_value != NULL ? our_value : "", stored_value != NULL ? stored_value : "");
+}
+
+static char *first_difference(GHashTable *walked, GHashTable *ours, GHashTable *stored)
+{
+    GList *names = sorted_names(walked);
+    char *difference = NULL;
+    for (const GList *at = names; difference == NULL && at != NULL; at = at->next)
+        difference = value_difference(at->data, ours, stored);
+    g_list_free(names);
+    return difference;
+}
+
+char *ow_shard_map_difference(GHashTable *ours, GHashTable *stored)
+{
+    char *difference = first_difference(ours, ours, stored);
+    return difference != NULL ? difference : first_difference(stored, ours, stored);
+}
+
+uint64_t ow_shard_map_digest(GHashTable *values)
+{
+    GChecksum *checksum = g_checksum_new(G_CHECKSUM_SHA256);
+    GList *names = sorted_names(values);
+    for (const GList *at = names; at != NULL; at = at->next) {
+        const char *value = g_hash_table_lookup(values, at->data);
+        /* With its terminating NUL, so that no two tables run into the same bytes. */
+        g_checksum_update(checksum, at->data, (gssize)strlen(at->data) + 1);
+        g_checksum_update(checksum, (const guchar *)value, (gssize)strlen(value) + 1);
+    }
+    g_list_free(names);
+    guint8 digest[32];
+    gsize size = sizeof digest;
+    g_checksum_get_digest(checksum, digest, &size);
+    g_checksum_free(checksum);
+    uint64_t number = 0;
+    memcpy(&number, digest, sizeof number);
+    return number >> 1; /* JSON numbers have 63 bits */
+}
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -45,6 +45,8 @@
     double last_peer_message_at;            /* the last message of any peer; 0: none yet */
     struct ow_machine_hints *machine_hints; /* from the leader's last message */
     double hello_at;
+    bool may_lead;           /* false: this controller never takes the leader's key */
+    double election_delay_s; /* how long it leaves a missing key to others before it takes it */
 };
 
 /* Queues an effect for the caller of the core, which it then belongs to. */
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -2,6 +2,7 @@
 
 #include "core/api/cancel.h"
 #include "core/api/cancellation_ack.h"
+#include "core/api/feasibility.h"
 #include "core/api/job_cache.h"
 #include "core/api/poll.h"
 #include "core/api/submit.h"
@@ -11,6 +12,8 @@
 #include "core/health.h"
 #include "core/machine_hints.h"
 #include "core/leader.h"
+#include "core/leader_state.h"
+#include "core/machines/machine.h"
 #include "core/peer_messages.h"
 #include "core/scheduling/classes.h"
 #include "core/type_discovery.h"
@@ -36,6 +39,7 @@
     controller->settings = settings;
     controller->rules = rules;
     controller->nonce = nonce;
+    controller->may_lead = true;
     controller->limits = ow_limits_of(settings);
     controller->peer_formats = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     controller->pending_calls = ow_pending_calls_new();
@@ -196,3 +200,60 @@
 {
     return ow_election_token(core->controller.election);
 }
+
+static void count_fenced(const struct ow_leader *leader, struct ow_core_status *status)
+{
+    for (guint i = 0; i < leader->machines->len; i++) {
+        const struct ow_machine *machine = g_ptr_array_index(leader->machines, i);
+        if (machine->session == 0)
+            continue;
+        status->machines++;
+        status->fenced += machine->fenced ? 1 : 0;
+    }
+}
+
+void ow_core_status(const struct ow_core *core, struct ow_core_status *status)
+{
+    const struct ow_controller *controller = &core->controller;
+    const struct ow_leader *leader = controller->leader;
+    *status = (struct ow_core_status){
+        .leader_name = ow_election_leader_name(controller->election),
+        .token = ow_election_token(controller->election),
+        .key_missing = ow_election_key_is_missing(controller->election),
+    };
+    if (leader == NULL)
+        return;
+    status->records_read = status->ready = leader->phase == OW_LEADER_READY;
+    count_fenced(leader, status);
+}
+
+void ow_core_set_candidacy(struct ow_core *core, bool may_lead, double delay_s)
+{
+    core->controller.may_lead = may_lead;
+    core->controller.election_delay_s = delay_s;
+}
+
+bool ow_core_knows_job(const struct ow_core *core, const char *id)
+{
+    return ow_jobs_find(core->controller.jobs, id) != NULL;
+}
+
+const char *ow_core_infeasible_reason(const struct ow_core *core, const struct ow_submission *submission)
+{
+    return core->controller.types_known ? ow_infeasible_reason(&core->controller, submission) : NULL;
+}
+
+double ow_core_waiting_cpus(const struct ow_core *core)
+{
+    const GPtrArray *open_jobs = ow_jobs_open(core->controller.jobs);
+    double cpus = 0;
+    for (guint i = 0; i < open_jobs->len; i++) {
+        const struct ow_job *job = g_ptr_array_index(open_jobs, i);
+        if (ow_job_over(job) || job->spec == NULL)
+            continue;
+        const struct ow_submission *submission = job->spec->submission;
+        int waiting = (int)submission->tasks - MAX(job->done, 0) - MAX(job->running, 0);
+        cpus += submission->need.cpus * MAX(waiting, 0);
+    }
+    return cpus;
+}
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -19,6 +19,25 @@
 double ow_core_idle_seconds(const struct ow_core *core);
 /* Whether users should be sent here. */
 bool ow_core_healthy(const struct ow_core *core);
+/* Who leads, and how far this controller is with it if it is the one; texts are valid until the next event.
+ */
+struct ow_core_status {
+    const char *leader_name; /* NULL: nobody, or unknown */
+    uint64_t token;          /* of this controller's term; 0: it does not lead */
+    bool key_missing;        /* the state service has shown that nobody holds the leader's key */
+    bool records_read, ready;
+    unsigned machines; /* that the leader knows and that have reported, ever */
+    unsigned fenced;   /* those of them that have shown its token */
+};
+void ow_core_status(const struct ow_core *core, struct ow_core_status *status);
+/* Whether this controller may take the leader's key, and how long it leaves a missing one to others. */
+void ow_core_set_candidacy(struct ow_core *core, bool may_lead, double delay_s);
+/* Whether the job is in this controller's copy of the job table. */
+bool ow_core_knows_job(const struct ow_core *core, const char *id);
+/* Why the job can never run here; NULL: it can, or that is not known yet. */
+const char *ow_core_infeasible_reason(const struct ow_core *core, const struct ow_submission *submission);
+/* CPUs that the tasks of open jobs wait for, as far as this controller knows. */
+double ow_core_waiting_cpus(const struct ow_core *core);
 /* The token under which this controller leads; 0: it does not. */
 uint64_t ow_core_token(const struct ow_core *core);
 
--- a/src/core/effects.c
+++ b/src/core/effects.c
@@ -21,6 +21,25 @@
     return machines;
 }
 
+static void peer_shard_clear(void *item)
+{
+    g_free(((struct ow_peer_shard *)item)->name);
+}
+
+GArray *ow_peer_shards_new(void)
+{
+    GArray *shards = g_array_new(FALSE, TRUE, sizeof(struct ow_peer_shard));
+    g_array_set_clear_func(shards, peer_shard_clear);
+    return shards;
+}
+
+void ow_peer_shards_add(GArray *shards, const struct ow_peer_shard *shard)
+{
+    struct ow_peer_shard copy = *shard;
+    copy.name = g_strdup(shard->name);
+    g_array_append_val(shards, copy);
+}
+
 struct ow_peer_message *ow_peer_message_new(enum ow_peer_kind kind)
 {
     struct ow_peer_message *message = g_new0(struct ow_peer_message, 1);
@@ -30,6 +49,8 @@
         g_array_set_clear_func(message->jobs, peer_job_clear);
     } else if (kind == OW_PEER_MACHINES || kind == OW_PEER_MACHINES_PART) {
         message->machines = ow_peer_machines_new();
+    } else if (kind == OW_PEER_HEARTBEAT) {
+        message->shards = ow_peer_shards_new();
     }
     return message;
 }
@@ -43,6 +64,13 @@
         g_array_free(message->jobs, TRUE);
     if (message->machines != NULL)
         g_array_free(message->machines, TRUE);
+    if (message->shards != NULL)
+        g_array_free(message->shards, TRUE);
+    g_free(message->shard);
+    g_free(message->addressee);
+    g_free(message->origin);
+    g_free(message->relay);
+    g_free(message->target);
     g_free(message);
 }
 
--- a/src/core/election/election.c
+++ b/src/core/election/election.c
@@ -41,6 +41,11 @@
     return election->leader_name;
 }
 
+bool ow_election_key_is_missing(const struct ow_election *election)
+{
+    return election->stage != OW_ELECTION_LEADING && election->key_missing;
+}
+
 void ow_election_peer_ended(struct ow_election *election, const char *controller_name)
 {
     if (!ow_succession_may_replace_ended(election, controller_name))
@@ -102,7 +107,7 @@
 {
     if (!election->key_known)
         ow_leader_key_read(election);
-    else if (ow_succession_leader_is_outdated(election))
+    else if (election->controller->may_lead && ow_succession_leader_is_outdated(election))
         replace_outdated_leader(election);
     else if (!election->watching && election->controller->now >= election->watch_at)
         ow_leader_key_watch(election);
--- a/src/core/election/election.h
+++ b/src/core/election/election.h
@@ -18,6 +18,9 @@
 uint64_t ow_election_token(const struct ow_election *election);
 /* The revision of the leader's key as we know it, ours included; 0: nobody holds it, or it is unknown. */
 uint64_t ow_election_key(const struct ow_election *election);
+/* Whether the state service has shown that nobody holds the key, and nobody is known to have taken it since.
+ */
+bool ow_election_key_is_missing(const struct ow_election *election);
 /* A write of ours showed that the key is not as we know it. */
 void ow_election_invalidate(struct ow_election *election);
 /* The name of the controller that leads as far as we know, or NULL. */
--- a/src/core/election/election_state.c
+++ b/src/core/election/election_state.c
@@ -31,6 +31,7 @@
     struct ow_controller *controller = election->controller;
     election->stage = OW_ELECTION_LEADING;
     election->token = token;
+    election->key_missing = false;
     election->began_at = controller->now;
     election->seen_token = MAX(election->seen_token, token);
     election->renew_at = controller->now + controller->rules->leader_lease_s / 4;
--- a/src/core/election/election_state.h
+++ b/src/core/election/election_state.h
@@ -23,6 +23,8 @@
     uint64_t lease;
     uint64_t key_version; /* of the key as last read; 0: nobody holds it */
     bool key_known;       /* key_version and leader_name are from the state service */
+    bool key_missing;     /* as last read, nobody held it; stays true while the reading is repeated */
+    bool has_waited;      /* the missing key has been left to others for the election delay */
     char *leader_name;
     uint64_t token;      /* ours in stage OW_ELECTION_LEADING */
     uint64_t seen_token; /* the highest known */
--- a/src/core/election/leader_key.c
+++ b/src/core/election/leader_key.c
@@ -42,6 +42,8 @@
         election->led_since = election->controller->now;
     election->key_version = item->version;
     election->key_known = true;
+    election->key_missing = false;
+    election->has_waited = false;
     if (is_own_write(election, item->version, leader_name, nonce)) {
         /* The answer to our own write was lost, but it was carried out. */
         ow_election_begin_to_lead(election, item->version);
@@ -50,19 +52,34 @@
     if (ow_leader_key_is_own_name(election, leader_name)) {
         /* An earlier process of this name, which has ended: its key need not run out first. */
         ow_election_set_leader_name(election, NULL);
-        ow_election_run_for_leader(election);
+        if (election->controller->may_lead)
+            ow_election_run_for_leader(election);
         return;
     }
     ow_election_set_leader_name(election, leader_name);
     election->seen_token = MAX(election->seen_token, item->version);
 }
 
+/* How often a controller that may not lead looks whether anybody does. */
+static const double ONLOOKER_S = 1;
+
 static void handle_missing_key(struct ow_election *election)
 {
+    const struct ow_controller *controller = election->controller;
     election->key_version = 0;
     election->key_known = true;
+    election->key_missing = true;
     ow_election_set_leader_name(election, NULL);
-    ow_election_run_for_leader(election);
+    if (!controller->may_lead) {
+        ow_election_look_again(election, ONLOOKER_S);
+    } else if (controller->election_delay_s > 0 && !election->has_waited) {
+        /* Others go first: the key is read once more when their time is over. */
+        election->has_waited = true;
+        ow_election_look_again(election, controller->election_delay_s);
+    } else {
+        election->has_waited = false;
+        ow_election_run_for_leader(election);
+    }
 }
 
 static void on_read(void *owner, void *data, const struct ow_event *answer)
--- a/src/core/peer_messages.c
+++ b/src/core/peer_messages.c
@@ -72,6 +72,9 @@
     case OW_PEER_LINK_LOST:
         ow_election_peer_ended(controller->election, message->sender);
         break;
+    case OW_PEER_HEARTBEAT:
+    case OW_PEER_PROBE:
+        break; /* of control/, which does not hand them on */
     case OW_PEER_MACHINES:
     case OW_PEER_MACHINES_PART:
         ow_machine_hints_take(controller->machine_hints, message);
--- a/src/io/client.c
+++ b/src/io/client.c
@@ -93,15 +93,77 @@
     }
 }
 
-static enum ow_client_status print_answer(int status, const GString *answer, bool teams)
+static void print_controllers(const json_t *o)
+{
+    size_t i;
+    json_t *controller;
+    const char *agreement = "";
+    wj_string(o, "agreement", &agreement);
+    printf("settings: %s\n", agreement);
+    json_array_foreach(json_object_get(o, "controllers"), i, controller)
+    {
+        const char *name = "", *state = "", *cause = "";
+        double since_s = 0, phi = 0;
+        wj_string(controller, "name", &name);
+        wj_string(controller, "state", &state);
+        wj_string(controller, "cause", &cause);
+        wj_number(controller, "since_s", &since_s);
+        wj_number(controller, "phi", &phi);
+        printf("%s: %s for %.1f s, phi %.1f: %s; leads", name, state, since_s, phi, cause);
+        char **led = wj_strings(json_object_get(controller, "leads"));
+        for (char **shard = led; shard != NULL && *shard != NULL; shard++)
+            printf(" %s", *shard);
+        printf("%s\n", led == NULL || *led == NULL ? " nothing" : "");
+        g_strfreev(led);
+    }
+}
+
+/* One step of a shard's handovers. */
+static void print_step(const json_t *step)
+{
+    const char *state = "", *cause = "";
+    double since_s = 0;
+    wj_string(step, "state", &state);
+    wj_string(step, "cause", &cause);
+    wj_number(step, "since_s", &since_s);
+    printf("    %.1f s ago: %s: %s\n", since_s, state, cause);
+}
+
+static void print_shards(const json_t *o)
+{
+    size_t i, k;
+    json_t *shard, *step;
+    json_array_foreach(json_object_get(o, "shards"), i, shard)
+    {
+        const char *name = "", *state = "", *leader = "nobody", *successor = "";
+        uint64_t token = 0, machines = 0, fenced = 0;
+        wj_string(shard, "name", &name);
+        wj_string(shard, "state", &state);
+        wj_string(shard, "leader", &leader);
+        wj_string(shard, "successor", &successor);
+        wj_count(shard, "token", &token);
+        wj_count(shard, "machines", &machines);
+        wj_count(shard, "fenced", &fenced);
+        printf("%s: %s, led by %s, next would be %s", name, state, leader, successor);
+        if (token > 0)
+            printf("; token %" G_GUINT64_FORMAT ", %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
+                   " machines fenced",
+                   token, fenced, machines);
+        printf("\n");
+        json_array_foreach(json_object_get(shard, "steps"), k, step) print_step(step);
+    }
+}
+
+/* Prints the answer to a command that was carried out. */
+typedef void (*print_fn)(const json_t *answer);
+
+static enum ow_client_status print_answer(int status, const GString *answer, print_fn print)
 {
     json_t *o = wj_object(answer->str, answer->len);
     const char *fault = "no readable answer";
     bool ok = (status == OW_HTTP_STATUS_OK || status == OW_HTTP_STATUS_CREATED) && o != NULL;
-    if (ok && teams)
-        print_teams(o);
-    else if (ok)
-        print_job(o);
+    if (ok)
+        print(o);
     else if (status == OW_HTTP_STATUS_NONE)
         fprintf(stderr, "ospreywell: the controller does not answer\n");
     else {
@@ -124,11 +186,11 @@
 }
 
 static enum ow_client_status exchange(const char *server, const char *method, char *path, char *body,
-                                      bool teams)
+                                      print_fn print)
 {
     GString *answer = g_string_new(NULL);
     int status = request(server, method, path, body, answer);
-    enum ow_client_status result = print_answer(status, answer, teams);
+    enum ow_client_status result = print_answer(status, answer, print);
     g_string_free(answer, TRUE);
     g_free(path);
     g_free(body);
@@ -145,15 +207,20 @@
     }
     if (strcmp(verb, "submit") == 0 && one) {
         char *job = read_job(what);
-        return job != NULL ? exchange(server, "POST", g_strdup(W_PATH_JOBS), job, false) : OW_CLIENT_FAILED;
+        return job != NULL ? exchange(server, "POST", g_strdup(W_PATH_JOBS), job, print_job)
+                           : OW_CLIENT_FAILED;
     }
     if (strcmp(verb, "show") == 0 && one)
-        return exchange(server, "GET", g_strconcat(W_PATH_JOBS, "/", what, NULL), NULL, false);
+        return exchange(server, "GET", g_strconcat(W_PATH_JOBS, "/", what, NULL), NULL, print_job);
     if (strcmp(verb, "cancel") == 0 && one)
         return exchange(server, "POST", g_strconcat(W_PATH_JOBS, "/", what, "/", W_PATH_CANCEL, NULL),
-                        g_strdup("{}"), false);
+                        g_strdup("{}"), print_job);
     if (strcmp(verb, "teams") == 0 && what == NULL)
-        return exchange(server, "GET", g_strdup(W_PATH_TEAMS), NULL, true);
+        return exchange(server, "GET", g_strdup(W_PATH_TEAMS), NULL, print_teams);
+    if (strcmp(verb, "controllers") == 0 && what == NULL)
+        return exchange(server, "GET", g_strdup(W_PATH_CONTROLLERS), NULL, print_controllers);
+    if (strcmp(verb, "shards") == 0 && what == NULL)
+        return exchange(server, "GET", g_strdup(W_PATH_SHARDS), NULL, print_shards);
     fprintf(stderr, "ospreywell: %s: not a command, or wrong words behind it; see --help\n", verb);
     return OW_CLIENT_USAGE;
 }
--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -248,6 +248,17 @@
     }
 }
 
+void ow_http_client_drop_unsent(struct ow_http_client *client)
+{
+    for (guint i = client->connections->len; i > 0; i--) {
+        if (i > client->connections->len)
+            continue;
+        struct ow_client_connection *connection = g_ptr_array_index(client->connections, i - 1);
+        if (connection->out->len > 0)
+            fail(connection);
+    }
+}
+
 void ow_http_client_bound(struct ow_http_client *client, unsigned most)
 {
     client->most = most;
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -25,6 +25,8 @@
                          const char *path, const char *body, double timeout_s, uint64_t tag);
 /* Takes in what has come from the endpoint, without waiting for the loop to get there. */
 void ow_http_client_read_from(struct ow_http_client *client, const char *endpoint);
+/* Closes the connections that still have bytes to send: their requests end without a response. */
+void ow_http_client_drop_unsent(struct ow_http_client *client);
 /* From now on `most` connections are kept open at most. */
 void ow_http_client_bound(struct ow_http_client *client, unsigned most);
 /* Whether a request to the endpoint stays within the bound. The connection idle for longest makes room. */
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -99,3 +99,12 @@
             ow_http_connection_close(connection);
     }
 }
+
+void ow_http_server_drop_unsent(struct ow_http_server *server)
+{
+    for (guint i = 0; i < server->slots->len; i++) {
+        struct ow_http_connection *connection = g_ptr_array_index(server->slots, i);
+        if (connection != NULL && connection->out->len > 0)
+            ow_http_connection_close(connection);
+    }
+}
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -41,6 +41,8 @@
                            const char *body, size_t size);
 /* Connections that are open now. */
 unsigned ow_http_server_count(const struct ow_http_server *server);
+/* Closes the connections that still have bytes to send. */
+void ow_http_server_drop_unsent(struct ow_http_server *server);
 /* Closes idle connections; to be called now and then. */
 void ow_http_server_sweep(struct ow_http_server *server, double now);
 
--- a/src/io/incoming.c
+++ b/src/io/incoming.c
@@ -2,6 +2,7 @@
  * read; and the core's answers to them. */
 #include "io/service_state.h"
 
+#include "wire/control_json.h"
 #include "wire/user_json.h"
 #include "wire/words.h"
 #include "wire/worker_json.h"
@@ -36,7 +37,7 @@
     event->submission = submission;
     event->fault = fault;
     g_strlcpy(event->id, id, sizeof event->id);
-    ow_core_push(service->core, event);
+    ow_control_push(service->control, event);
 }
 
 static void take_report(struct ow_service *service, const struct ow_http_request *request)
@@ -48,7 +49,7 @@
     }
     struct ow_event *event = ow_service_event_new(OW_EVENT_REPORT, request->id);
     event->report = report;
-    ow_core_push(service->core, event);
+    ow_control_push(service->control, event);
 }
 
 static void take_job_request(struct ow_service *service, const struct ow_http_request *request,
@@ -67,7 +68,7 @@
     } else {
         struct ow_event *event = ow_service_event_new(cancel ? OW_EVENT_CANCEL : OW_EVENT_POLL, request->id);
         g_strlcpy(event->id, id, sizeof event->id);
-        ow_core_push(service->core, event);
+        ow_control_push(service->control, event);
     }
     g_free(id);
 }
@@ -80,6 +81,17 @@
     return false;
 }
 
+/* What operators ask of a fleet that is divided into shards. */
+static void answer_operators(struct ow_service *service, const struct ow_http_request *request, bool shards)
+{
+    if (!ow_control_is_enabled(service->control)) {
+        answer_error(service, request->id, OW_HTTP_STATUS_NOT_FOUND, "the fleet is not divided into shards");
+        return;
+    }
+    char *body = shards ? wire_shards(service->control) : wire_controllers(service->control);
+    answer(service, request->id, OW_HTTP_STATUS_OK, NULL, body);
+}
+
 void ow_incoming_handle(void *owner, const struct ow_http_request *request)
 {
     struct ow_service *service = owner;
@@ -95,11 +107,14 @@
     } else if (strcmp(path, W_PATH_HEALTH) == 0) {
         if (method_is(service, request, "GET"))
             answer(service, request->id,
-                   ow_core_healthy(service->core) ? OW_HTTP_STATUS_OK : OW_HTTP_STATUS_UNAVAILABLE, NULL,
-                   g_strdup("{}"));
+                   ow_control_healthy(service->control) ? OW_HTTP_STATUS_OK : OW_HTTP_STATUS_UNAVAILABLE,
+                   NULL, g_strdup("{}"));
     } else if (strcmp(path, W_PATH_TEAMS) == 0) {
         if (method_is(service, request, "GET"))
-            ow_core_push(service->core, ow_service_event_new(OW_EVENT_TEAMS, request->id));
+            ow_control_push(service->control, ow_service_event_new(OW_EVENT_TEAMS, request->id));
+    } else if (strcmp(path, W_PATH_CONTROLLERS) == 0 || strcmp(path, W_PATH_SHARDS) == 0) {
+        if (method_is(service, request, "GET"))
+            answer_operators(service, request, strcmp(path, W_PATH_SHARDS) == 0);
     } else {
         answer_error(service, request->id, OW_HTTP_STATUS_NOT_FOUND, "no such path");
     }
--- a/src/io/loop.c
+++ b/src/io/loop.c
@@ -12,6 +12,8 @@
     int epoll_fd;
     double now;
     double pause; /* what the last round asked for */
+    ow_wake_fn wake;
+    void *wake_owner;
     int ready_count;
     bool saturated; /* the last batch was full */
     struct epoll_event ready[BATCH];
@@ -44,6 +46,12 @@
     g_free(loop);
 }
 
+void ow_loop_on_wake(struct ow_loop *loop, ow_wake_fn wake, void *owner)
+{
+    loop->wake = wake;
+    loop->wake_owner = owner;
+}
+
 double ow_loop_now(const struct ow_loop *loop)
 {
     return loop->now;
@@ -83,8 +91,12 @@
 void ow_loop_once(struct ow_loop *loop, ow_round_fn round, void *owner)
 {
     int pause_ms = (int)(loop->pause * 1000.0) + 1;
+    double before = loop->now;
     int n = epoll_wait(loop->epoll_fd, loop->ready, BATCH, pause_ms);
     loop->now = steady_now();
+    /* From the last batch on: the process may have stood still anywhere since. */
+    if (loop->wake != NULL)
+        loop->wake(loop->wake_owner, loop->now - before - loop->pause, loop->now);
     loop->ready_count = n > 0 ? n : 0;
     loop->saturated = n == BATCH;
     for (int i = 0; i < loop->ready_count; i++) {
--- a/src/io/loop.h
+++ b/src/io/loop.h
@@ -14,9 +14,14 @@
    seconds may pass until the next round. */
 typedef double (*ow_round_fn)(void *owner, double now);
 
+/* Called when the loop goes on, before anything else, with how many seconds later than it meant to. */
+typedef void (*ow_wake_fn)(void *owner, double late_s, double now);
+
 /* NULL if the system has no epoll descriptor to give. */
 struct ow_loop *ow_loop_new(void);
 void ow_loop_free(struct ow_loop *loop);
+/* Sets the function that is called whenever the loop goes on. */
+void ow_loop_on_wake(struct ow_loop *loop, ow_wake_fn wake, void *owner);
 /* The steady time of the batch at hand, in seconds. */
 double ow_loop_now(const struct ow_loop *loop);
 
--- a/src/io/net.c
+++ b/src/io/net.c
@@ -64,12 +64,34 @@
     return fd;
 }
 
+/* Where connections begin; family 0: wherever the system chooses. */
+static struct sockaddr_in source;
+
+void ow_net_set_source(const char *endpoint)
+{
+    if (!parse_endpoint(endpoint, &source))
+        source.sin_family = 0;
+    source.sin_port = 0;
+}
+
+/* Without it the system chooses the address, which is no reason not to connect. */
+static void bind_to_source(int fd)
+{
+    int one = 1;
+    if (source.sin_family == 0)
+        return;
+    setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &one, sizeof one);
+    if (bind(fd, (struct sockaddr *)&source, sizeof source) != 0)
+        g_debug("a connection can't begin at the address that is listened on");
+}
+
 int ow_net_connect(const char *endpoint)
 {
     struct sockaddr_in addr;
     int fd = new_socket(endpoint, &addr);
     if (fd < 0)
         return -1;
+    bind_to_source(fd);
     if (connect(fd, (struct sockaddr *)&addr, sizeof addr) != 0 && errno != EINPROGRESS) {
         close(fd);
         return -1;
--- a/src/io/net.h
+++ b/src/io/net.h
@@ -7,6 +7,9 @@
 
 /* A socket that listens on ADDRESS:PORT, or -1. */
 int ow_net_listen(const char *endpoint);
+/* From now on connections begin at the address of ADDRESS:PORT, so that others can tell who connects to them.
+ */
+void ow_net_set_source(const char *endpoint);
 /* Begins a connection; the socket turns writable once it is established or has failed. -1: it could not
  * begin. */
 int ow_net_connect(const char *endpoint);
--- a/src/io/outgoing.c
+++ b/src/io/outgoing.c
@@ -93,7 +93,7 @@
 {
     struct ow_service *service = owner;
     const struct pending_request *pending = g_hash_table_lookup(service->pending_requests, &tag);
-    ow_core_push(service->core, reply_event(pending, status, body, size));
+    ow_control_push(service->control, reply_event(pending, status, body, size));
     g_hash_table_remove(service->pending_requests, &tag);
 }
 
@@ -142,7 +142,7 @@
 {
     struct ow_event *event = ow_service_event_new(OW_EVENT_DIRECT_REPLY, effect->request);
     event->status = OW_STATUS_UNSENT;
-    ow_core_push(service->core, event);
+    ow_control_push(service->control, event);
 }
 
 void ow_outgoing_bound_sockets(struct ow_service *service)
--- a/src/io/peer_link.c
+++ b/src/io/peer_link.c
@@ -255,12 +255,15 @@
     flush(link);
 }
 
-void ow_peer_links_send(struct ow_peer_links *links, struct ow_peer_message *message)
+void ow_peer_links_send(struct ow_peer_links *links, struct ow_peer_message *message, const char *endpoint)
 {
     GString *frame = g_string_new(NULL);
     if (wire_peer_encode(message, frame)) {
-        for (guint i = 0; i < links->out->len; i++)
-            send_frame(g_ptr_array_index(links->out, i), frame);
+        for (guint i = 0; i < links->out->len; i++) {
+            struct outgoing_link *link = g_ptr_array_index(links->out, i);
+            if (endpoint == NULL || strcmp(link->endpoint, endpoint) == 0)
+                send_frame(link, frame);
+        }
     } else {
         g_warning("a message of kind %d to the other controllers is too large and is not sent",
                   message->kind);
--- a/src/io/peer_link.h
+++ b/src/io/peer_link.h
@@ -22,8 +22,9 @@
 void ow_peer_links_free(struct ow_peer_links *links);
 /* Keeps a link to this controller up from now on. */
 void ow_peer_links_add(struct ow_peer_links *links, const char *endpoint);
-/* Sends the message to all controllers that are connected; nothing is kept for the others. */
-void ow_peer_links_send(struct ow_peer_links *links, struct ow_peer_message *message);
+/* Sends the message to the controller at `endpoint`, or to all if that is NULL, as far as they are connected;
+   nothing is kept for the others. */
+void ow_peer_links_send(struct ow_peer_links *links, struct ow_peer_message *message, const char *endpoint);
 /* Opens lost links again and drops those that take nothing; to be called now and then. */
 void ow_peer_links_sweep(struct ow_peer_links *links, double now);
 
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -31,7 +31,7 @@
     struct ow_service *service = owner;
     struct ow_event *event = ow_service_event_new(OW_EVENT_PEER, 0);
     event->peer = message;
-    ow_core_push(service->core, event);
+    ow_control_push(service->control, event);
 }
 
 static void take_lost(void *owner, const char *endpoint)
@@ -48,8 +48,38 @@
     }
 }
 
+/* The endpoint of the controller of this name, or NULL. */
+static const char *peer_endpoint(const struct ow_service *service, const char *name)
+{
+    for (guint i = 0; i < service->settings->peers->len; i++) {
+        const struct ow_peer_settings *peer =
+            &g_array_index(service->settings->peers, struct ow_peer_settings, i);
+        if (strcmp(peer->node, name) == 0)
+            return peer->endpoint;
+    }
+    return NULL;
+}
+
+static void send_to_peers(struct ow_service *service, struct ow_peer_message *message)
+{
+    const char *endpoint = message->addressee != NULL ? peer_endpoint(service, message->addressee) : NULL;
+    if (message->addressee == NULL || endpoint != NULL)
+        ow_peer_links_send(service->peers, message, endpoint);
+}
+
 /* ---- the loop ---- */
 
+/* The process goes on after a pause: what waits to be sent may be out of date, and is dropped unless our
+   leases are still ours. It comes before anything else, for the loop would send it at once. */
+static void woke(void *owner, double paused_s, double now)
+{
+    struct ow_service *service = owner;
+    if (!ow_control_resumed(service->control, paused_s, now))
+        return;
+    ow_http_client_drop_unsent(service->client);
+    ow_http_server_drop_unsent(service->server);
+}
+
 static void carry_out(struct ow_service *service, const struct ow_effect *effect)
 {
     switch (effect->kind) {
@@ -66,13 +96,14 @@
         ow_outgoing_send(service, effect);
         break;
     case OW_EFFECT_PEER:
-        ow_peer_links_send(service->peers, effect->peer);
+        send_to_peers(service, effect->peer);
         break;
     }
 }
 
 struct ow_service *ow_service_new(struct ow_loop *loop, const struct ow_settings *settings,
-                                  const struct ow_rules *rules, char **fault)
+                                  const struct ow_rules *rules, const struct ow_control_settings *control,
+                                  char **fault)
 {
     struct ow_service *service = g_new0(struct ow_service, 1);
     service->sockets = MAX(settings->sockets, SOCKETS_LEAST) - RESERVED_SOCKETS;
@@ -90,7 +121,8 @@
     service->peers = ow_peer_links_new(loop, settings->peer_listen, take_peer, take_lost, service);
     service->client =
         ow_http_client_new(loop, service->client_sockets_least, ow_outgoing_take_reply, service);
-    service->core = ow_core_new(settings, rules, ow_rng_nonce());
+    service->control = ow_control_new(settings, rules, control, ow_rng_nonce());
+    ow_loop_on_wake(loop, woke, service);
     if (service->server == NULL || service->peers == NULL) {
         *fault = g_strdup_printf("cannot listen on %s",
                                  service->server == NULL ? settings->front : settings->peer_listen);
@@ -108,7 +140,7 @@
     ow_http_server_free(service->server);
     ow_peer_links_free(service->peers);
     ow_http_client_free(service->client);
-    ow_core_free(service->core);
+    ow_control_free(service->control);
     g_hash_table_destroy(service->pending_requests);
     g_free(service);
 }
@@ -127,9 +159,9 @@
      */
     if (ow_loop_is_saturated(service->loop))
         ow_http_client_read_from(service->client, service->settings->state);
-    GPtrArray *effects = ow_core_run(service->core, now, (double)g_get_real_time() / G_USEC_PER_SEC);
+    GPtrArray *effects = ow_control_run(service->control, now, (double)g_get_real_time() / G_USEC_PER_SEC);
     for (guint i = 0; i < effects->len; i++)
         carry_out(service, g_ptr_array_index(effects, i));
     g_ptr_array_free(effects, TRUE);
-    return ow_core_idle_seconds(service->core);
+    return ow_control_idle_seconds(service->control);
 }
--- a/src/io/service_state.h
+++ b/src/io/service_state.h
@@ -2,7 +2,7 @@
 #ifndef OW_IO_SERVICE_STATE_H
 #define OW_IO_SERVICE_STATE_H
 
-#include "core/core.h"
+#include "control/control.h"
 #include "core/settings.h"
 #include "io/http_client.h"
 #include "io/http_server.h"
@@ -13,7 +13,7 @@
 struct ow_service {
     struct ow_loop *loop;
     const struct ow_settings *settings;
-    struct ow_core *core;
+    struct ow_control *control;
     struct ow_http_server *server;
     struct ow_http_client *client;
     struct ow_peer_links *peers;
--- a/src/main.c
+++ b/src/main.c
@@ -2,8 +2,10 @@
 #include "config/cmdline.h"
 #include "config/operators_file.h"
 #include "config/settings_file.h"
+#include "control/control_settings.h"
 #include "io/client.h"
 #include "io/log.h"
+#include "io/net.h"
 #include "io/service.h"
 
 #include <stdio.h>
@@ -19,36 +21,61 @@
     return STATUS_FAILED;
 }
 
+/* Everything that the settings files say. */
+struct configuration {
+    struct ow_settings *settings;
+    struct ow_rules rules;
+    struct ow_control_settings *control;
+};
+
 /* Serves as a controller; returns only if it can't begin. */
-static int serve(const struct ow_cmdline *cmdline, struct ow_settings *settings, const struct ow_rules *rules)
+static int serve(const struct ow_cmdline *cmdline, const struct configuration *configuration)
 {
     char *fault = NULL;
+    if (configuration->control->enabled)
+        ow_net_set_source(configuration->settings->front);
     struct ow_loop *loop = ow_loop_new();
-    struct ow_service *service = ow_service_new(loop, settings, rules, &fault);
+    struct ow_service *service =
+        ow_service_new(loop, configuration->settings, &configuration->rules, configuration->control, &fault);
     if (service == NULL)
         return complain(cmdline->config, fault);
     ow_loop_run(loop, ow_service_round, service);
     return STATUS_DONE;
 }
 
+/* Reads the operators' settings and checks them against the platform's; what is wrong, or NULL. */
+static char *load_operators(const char *path, struct configuration *configuration)
+{
+    char *fault = NULL;
+    if (!ow_operators_load(path, &configuration->rules, configuration->control, &fault))
+        return fault;
+    return ow_control_settings_check(configuration->control, configuration->settings, &configuration->rules);
+}
+
+/* Checks the files, and serves unless only that is wanted. */
+static int run_configuration(const struct ow_cmdline *cmdline, struct configuration *configuration)
+{
+    char *fault = cmdline->operators != NULL ? load_operators(cmdline->operators, configuration) : NULL;
+    if (fault != NULL)
+        return complain(cmdline->operators, fault);
+    if (cmdline->action != OW_ACTION_CHECK)
+        return serve(cmdline, configuration);
+    printf("the settings are in order\n");
+    return STATUS_DONE;
+}
+
 /* Reads the settings, and serves unless only a check is wanted. */
 static int with_settings(const struct ow_cmdline *cmdline)
 {
     char *fault = NULL;
-    struct ow_rules rules = ow_rules_default();
-    struct ow_settings *settings = ow_settings_load(cmdline->config, &fault);
-    if (settings == NULL)
+    struct configuration configuration = {.settings = ow_settings_load(cmdline->config, &fault),
+                                          .rules = ow_rules_default()};
+    if (configuration.settings == NULL)
         return complain(cmdline->config, fault);
-    if (cmdline->operators != NULL && !ow_operators_load(cmdline->operators, &rules, &fault)) {
-        ow_settings_free(settings);
-        return complain(cmdline->operators, fault);
-    }
-    int status = STATUS_DONE;
-    if (cmdline->action == OW_ACTION_CHECK)
-        printf("the settings are in order\n");
-    else
-        status = serve(cmdline, settings, &rules);
-    ow_settings_free(settings);
+    configuration.control = ow_control_settings_new();
+    int status = run_configuration(cmdline, &configuration);
+    ow_control_settings_free(configuration.control);
+    ow_settings_free(configuration.settings);
     return status;
 }
 
--- a/src/wire/peer.x
+++ b/src/wire/peer.x
@@ -75,6 +75,41 @@
     unsigned hyper token;     /* of the leader that says so */
 };
 
+/* Controllers that share a fleet of several shards tell each other that they are alive, and what they lead. */
+const PEER_SHARDS_MAX = 32;
+
+struct peer_led_shard {
+    string name<PEER_NAME_MAX>;
+    unsigned hyper token;
+    bool serving;
+    unsigned int machines;
+};
+
+struct peer_heartbeat {
+    string sender<PEER_NAME_MAX>;
+    unsigned hyper incarnation;  /* of the sender's process */
+    unsigned hyper sequence;
+    unsigned hyper digest;       /* of the settings by which shards are shared */
+    peer_led_shard shards<PEER_SHARDS_MAX>;
+};
+
+/* A step of an indirect probe: the origin asks the relay whether it reaches the target. */
+struct peer_probe {
+    string sender<PEER_NAME_MAX>;
+    unsigned int step;
+    string origin<PEER_NAME_MAX>;
+    string relay<PEER_NAME_MAX>;
+    string target<PEER_NAME_MAX>;
+    unsigned hyper number;
+};
+
+/* A message between the controllers of one shard. The default shard's go without, as earlier versions send them. */
+struct peer_shard_message {
+    string shard<PEER_NAME_MAX>;
+    unsigned int kind;
+    opaque body<PEER_MESSAGE_MAX>;
+};
+
 const PEER_VERSION = 2;
 
 enum peer_kind {
@@ -84,7 +119,10 @@
     PEER_MACHINES = 4,
     PEER_CANCELLATION = 5,
     PEER_CANCELLATION_ACK = 6,
-    PEER_MACHINES_PART = 7
+    PEER_MACHINES_PART = 7,
+    PEER_SHARD_MESSAGE = 8,
+    PEER_HEARTBEAT = 9,
+    PEER_PROBE = 10
 };
 
 struct peer_envelope {
--- a/src/wire/peer_xdr.c
+++ b/src/wire/peer_xdr.c
@@ -14,6 +14,8 @@
     peer_machines_part machines_part;
     peer_cancellation cancellation;
     peer_cancellation_ack cancellation_ack;
+    peer_heartbeat heartbeat;
+    peer_probe probe;
 };
 
 static xdrproc_t body_coder(unsigned kind)
@@ -33,6 +35,10 @@
         return (xdrproc_t)xdr_peer_cancellation;
     case PEER_CANCELLATION_ACK:
         return (xdrproc_t)xdr_peer_cancellation_ack;
+    case PEER_HEARTBEAT:
+        return (xdrproc_t)xdr_peer_heartbeat;
+    case PEER_PROBE:
+        return (xdrproc_t)xdr_peer_probe;
     default:
         return NULL;
     }
@@ -61,6 +67,17 @@
     return filled;
 }
 
+/* The same of the shards that the sender of a heartbeat leads. */
+static peer_led_shard *fill_shards(const GArray *shards)
+{
+    peer_led_shard *filled = g_new0(peer_led_shard, shards->len);
+    for (guint i = 0; i < shards->len; i++) {
+        struct ow_peer_shard *shard = &g_array_index(shards, struct ow_peer_shard, i);
+        filled[i] = (peer_led_shard){shard->name, shard->token, shard->serving, shard->machines};
+    }
+    return filled;
+}
+
 /* Answers with a list that the caller frees, or NULL. */
 static void *fill_body(struct ow_peer_message *message, union body *body)
 {
@@ -92,6 +109,17 @@
     case OW_PEER_CANCELLATION_ACK:
         body->cancellation_ack = (peer_cancellation_ack){message->job, message->revision, message->number};
         return NULL;
+    case OW_PEER_HEARTBEAT:
+        body->heartbeat = (peer_heartbeat){message->sender,
+                                           message->incarnation,
+                                           message->sequence,
+                                           message->digest,
+                                           {message->shards->len, fill_shards(message->shards)}};
+        return body->heartbeat.shards.shards_val;
+    case OW_PEER_PROBE:
+        body->probe = (peer_probe){message->sender, (u_int)message->step, message->origin,
+                                   message->relay,  message->target,      message->number};
+        return NULL;
     case OW_PEER_LINK_LOST:
         return NULL;
     }
@@ -112,10 +140,21 @@
     return buffer;
 }
 
+/* Encodes the body with the shard that it belongs to, replacing it; false if it does not fit. */
+static bool wrap_for_shard(const struct ow_peer_message *message, char **encoded, uint32_t *size)
+{
+    peer_shard_message wrapped = {message->shard, (u_int)message->kind, {*size, *encoded}};
+    char *outer = encode((xdrproc_t)xdr_peer_shard_message, &wrapped, size);
+    g_free(*encoded);
+    *encoded = outer;
+    return outer != NULL;
+}
+
 bool wire_peer_encode(struct ow_peer_message *message, GString *out)
 {
     union body body;
     uint32_t size = 0;
+    u_int kind = (u_int)message->kind;
     memset(&body, 0, sizeof body);
     xdrproc_t coder = body_coder(message->kind);
     if (coder == NULL)
@@ -123,8 +162,10 @@
     void *list = fill_body(message, &body);
     char *encoded = encode(coder, &body, &size);
     char *whole = NULL;
+    if (encoded != NULL && message->shard != NULL && wrap_for_shard(message, &encoded, &size))
+        kind = PEER_SHARD_MESSAGE;
     if (encoded != NULL) {
-        peer_envelope envelope = {PEER_VERSION, (u_int)message->kind, {size, encoded}};
+        peer_envelope envelope = {PEER_VERSION, kind, {size, encoded}};
         whole = encode((xdrproc_t)xdr_peer_envelope, &envelope, &size);
     }
     if (whole != NULL) {
@@ -170,6 +211,30 @@
     read_machines(part->machines.machines_val, part->machines.machines_len, message);
 }
 
+static void read_heartbeat(const peer_heartbeat *heartbeat, struct ow_peer_message *message)
+{
+    message->sender = g_strdup(heartbeat->sender);
+    message->incarnation = heartbeat->incarnation;
+    message->sequence = heartbeat->sequence;
+    message->digest = heartbeat->digest;
+    for (u_int i = 0; i < heartbeat->shards.shards_len; i++) {
+        const peer_led_shard *entry = &heartbeat->shards.shards_val[i];
+        struct ow_peer_shard shard = {entry->name, entry->token, entry->serving, entry->machines};
+        ow_peer_shards_add(message->shards, &shard);
+    }
+}
+
+/* A step that is not known stays beyond those that are. */
+static void read_probe(const peer_probe *probe, struct ow_peer_message *message)
+{
+    message->sender = g_strdup(probe->sender);
+    message->step = probe->step < OW_PROBE_STEPS ? (enum ow_probe_step)probe->step : OW_PROBE_STEPS;
+    message->origin = g_strdup(probe->origin);
+    message->relay = g_strdup(probe->relay);
+    message->target = g_strdup(probe->target);
+    message->number = probe->number;
+}
+
 static struct ow_peer_message *read_body(unsigned kind, const union body *body)
 {
     struct ow_peer_message *message = ow_peer_message_new((enum ow_peer_kind)kind);
@@ -204,6 +269,12 @@
         message->revision = body->cancellation_ack.revision;
         message->number = body->cancellation_ack.token;
         break;
+    case OW_PEER_HEARTBEAT:
+        read_heartbeat(&body->heartbeat, message);
+        break;
+    case OW_PEER_PROBE:
+        read_probe(&body->probe, message);
+        break;
     case OW_PEER_LINK_LOST:
         break;
     }
@@ -220,23 +291,47 @@
     return ok;
 }
 
+/* Reads a body of this kind: NULL and true where the kind is unknown. */
+static bool decode_body(unsigned kind, const char *data, size_t size, struct ow_peer_message **message)
+{
+    union body body;
+    xdrproc_t coder = body_coder(kind);
+    memset(&body, 0, sizeof body);
+    *message = NULL;
+    if (coder == NULL)
+        return true;
+    bool ok = decode(coder, data, size, &body);
+    if (ok)
+        *message = read_body(kind, &body);
+    xdr_free(coder, (char *)&body);
+    return ok;
+}
+
+static bool decode_shard_message(const char *data, size_t size, struct ow_peer_message **message)
+{
+    peer_shard_message wrapped;
+    memset(&wrapped, 0, sizeof wrapped);
+    *message = NULL;
+    bool ok = decode((xdrproc_t)xdr_peer_shard_message, data, size, &wrapped) &&
+              decode_body(wrapped.kind, wrapped.body.body_val, wrapped.body.body_len, message);
+    if (*message != NULL)
+        (*message)->shard = g_strdup(wrapped.shard);
+    xdr_free((xdrproc_t)xdr_peer_shard_message, (char *)&wrapped);
+    return ok;
+}
+
 bool wire_peer_decode(const char *data, size_t size, struct ow_peer_message **message)
 {
     peer_envelope envelope;
-    union body body;
     memset(&envelope, 0, sizeof envelope);
-    memset(&body, 0, sizeof body);
     *message = NULL;
     bool ok = decode((xdrproc_t)xdr_peer_envelope, data, size, &envelope);
-    xdrproc_t coder = ok ? body_coder(envelope.kind) : NULL;
-    if (coder != NULL) {
-        ok = decode(coder, envelope.body.body_val, envelope.body.body_len, &body);
-        if (ok) {
-            *message = read_body(envelope.kind, &body);
-            (*message)->version = envelope.format;
-        }
-        xdr_free(coder, (char *)&body);
-    }
+    if (ok && envelope.kind == PEER_SHARD_MESSAGE)
+        ok = decode_shard_message(envelope.body.body_val, envelope.body.body_len, message);
+    else if (ok)
+        ok = decode_body(envelope.kind, envelope.body.body_val, envelope.body.body_len, message);
+    if (*message != NULL)
+        (*message)->version = envelope.format;
     xdr_free((xdrproc_t)xdr_peer_envelope, (char *)&envelope);
     return ok;
 }
--- a/src/wire/words.h
+++ b/src/wire/words.h
@@ -9,6 +9,7 @@
 #define W_PATH_HEALTH "/up"
 #define W_PATH_REPORT "/hello"
 #define W_PATH_COMMANDS "/commands"
+#define W_PATH_STATUS "/status"
 #define W_PATH_TYPES "/machine_types"
 #define W_PATH_MACHINES "/rentals"
 #define W_PATH_DELETE "/rentals/delete"
@@ -17,7 +18,9 @@
 #define W_PATH_LEASES "/holds"
 #define W_PATH_RENEW "extend"
 #define W_PATH_WATCH "/follow"
-#define W_PATH_TEAMS "/v2/teams" /* ours */
+#define W_PATH_TEAMS "/v2/teams"             /* ours */
+#define W_PATH_CONTROLLERS "/v2/controllers" /* ours */
+#define W_PATH_SHARDS "/v2/shards"           /* ours */
 #define W_JOB_PREFIX "run-"
 
 /* Fields. */
