--- /dev/null
+++ b/src/agent/agent.c
@@ -0,0 +1,242 @@
+#include "agent/agent.h"
+
+#include "agent/reporter.h"
+#include "agent/tasks.h"
+#include "io/http_client.h"
+#include "io/http_server.h"
+#include "io/http_status.h"
+#include "io/net.h"
+#include "wire/agent_json.h"
+#include "wire/user_json.h"
+#include "wire/words.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* How long a report may take; how often idle connections and tasks are looked at. */
+static const double REPORT_TIMEOUT_S = 4, ROUND_S = 0.05;
+enum { BODY_LIMIT_BYTES = 256 * 1024, SERVER_CONNECTIONS = 32, CLIENT_CONNECTIONS = 4 };
+static const double IDLE_S = 60;
+
+struct agent {
+    const struct agent_options *options;
+    struct ow_loop *loop;
+    struct ow_http_server *server;
+    struct ow_http_client *client;
+    struct agent_history history;
+    struct agent_session session;
+    struct agent_lease *lease;
+    struct agent_tasks *tasks;
+    struct agent_reporter reporter;
+    uint64_t sequence;       /* of the last message that tells the state of this machine */
+    uint64_t report_session; /* of the report under way */
+    double report_clock;     /* when it left, by the lease's clock */
+};
+
+/* ---- what this machine says ---- */
+
+/* The text of a report (g_free). Each has a number of its own. */
+static char *make_report(struct agent *agent)
+{
+    const struct agent_options *options = agent->options;
+    struct ow_report report = {
+        .machine = options->machine,
+        .addr = options->advertise,
+        .type = options->type,
+        .zone = options->zone,
+        .spot = options->spot,
+        .session = agent->session.number,
+        .seq = ++agent->sequence,
+        .token = agent->session.token,
+        .notice_s = -1,
+        .tasks = g_array_new(FALSE, FALSE, sizeof(struct ow_task_report)),
+    };
+    agent_tasks_report(agent->tasks, report.tasks);
+    char *text = wire_report(&report);
+    g_array_free(report.tasks, TRUE);
+    return text;
+}
+
+/* ---- whom it obeys ---- */
+
+static void record_orders(const struct agent *agent, const struct ow_worker_orders *orders, const char *via,
+                          bool accepted)
+{
+    agent_history_add(&agent->history, "orders",
+                      ",\"via\":\"%s\",\"token\":%" PRIu64 ",\"seen\":%" PRIu64 ",\"session\":%" PRIu64
+                      ",\"commands\":%u,\"accepted\":%s",
+                      via, orders->token, agent->session.token, agent->session.number, orders->commands->len,
+                      accepted ? "true" : "false");
+}
+
+static void see_token(struct agent *agent, uint64_t token)
+{
+    if (token <= agent->session.token)
+        return;
+    agent_session_set_token(&agent->session, token);
+    agent_history_add(&agent->history, "token", ",\"token\":%" PRIu64, token);
+    agent_reporter_token_changed(&agent->reporter, ow_loop_now(agent->loop));
+}
+
+static void obey(struct agent *agent, const struct ow_worker_orders *orders)
+{
+    see_token(agent, orders->token);
+    if (orders->commands->len == 0)
+        return;
+    agent_tasks_obey(agent->tasks, orders->commands);
+    agent_reporter_changed(&agent->reporter);
+}
+
+/* Who is cut off from every controller kills its tasks and begins anew. */
+static void check_lease(struct agent *agent)
+{
+    if (!agent_lease_is_over(agent->lease))
+        return;
+    agent_history_add(&agent->history, "lease-over", ",\"session\":%" PRIu64, agent->session.number);
+    agent_tasks_forget_all(agent->tasks);
+    agent_session_begin_next(&agent->session);
+    agent_lease_restart(agent->lease);
+    agent_history_add(&agent->history, "session", ",\"session\":%" PRIu64, agent->session.number);
+    agent_reporter_changed(&agent->reporter);
+}
+
+/* ---- direct commands ---- */
+
+static void answer_report(struct agent *agent, const struct ow_http_request *request, int status)
+{
+    char *body = make_report(agent);
+    ow_http_server_answer(agent->server, request->id, status, NULL, body, strlen(body));
+    g_free(body);
+}
+
+static void answer_error(struct agent *agent, const struct ow_http_request *request, int status,
+                         const char *text)
+{
+    char *body = wire_error(text);
+    ow_http_server_answer(agent->server, request->id, status, NULL, body, strlen(body));
+    g_free(body);
+}
+
+static void take_direct(struct agent *agent, const struct ow_http_request *request)
+{
+    struct ow_worker_orders *orders = wire_worker_orders_parse(request->body, request->body_size);
+    if (orders == NULL || !orders->has_token || !orders->has_session) {
+        answer_error(agent, request, OW_HTTP_STATUS_BAD_REQUEST, "no commands with token and session");
+        wire_worker_orders_free(orders);
+        return;
+    }
+    bool accepted = orders->token >= agent->session.token && orders->session == agent->session.number;
+    record_orders(agent, orders, "direct", accepted);
+    if (accepted)
+        obey(agent, orders);
+    answer_report(agent, request, accepted ? OW_HTTP_STATUS_OK : OW_HTTP_STATUS_CONFLICT);
+    wire_worker_orders_free(orders);
+}
+
+static void handle_request(void *owner, const struct ow_http_request *request)
+{
+    struct agent *agent = owner;
+    /* A machine that stood still must not act for a lease that is over. */
+    check_lease(agent);
+    if (strcmp(request->target, W_PATH_COMMANDS) == 0 && strcmp(request->method, "POST") == 0)
+        take_direct(agent, request);
+    else if (strcmp(request->target, W_PATH_STATUS) == 0 && strcmp(request->method, "GET") == 0)
+        answer_report(agent, request, OW_HTTP_STATUS_OK);
+    else
+        answer_error(agent, request, OW_HTTP_STATUS_NOT_FOUND, "no such path");
+}
+
+/* ---- reports ---- */
+
+static void send_report(struct agent *agent)
+{
+    double now = ow_loop_now(agent->loop);
+    char *body = make_report(agent);
+    agent->report_session = agent->session.number;
+    agent->report_clock = agent_clock();
+    agent_reporter_sent(&agent->reporter, now, g_random_double_range(-1, 1));
+    ow_http_client_send(agent->client, agent_reporter_controller(&agent->reporter)->endpoint, "POST",
+                        W_PATH_REPORT, body, REPORT_TIMEOUT_S, 1);
+    g_free(body);
+}
+
+/* An answer of who may be entitled; one with an older token, or none, is as good as none. */
+static void take_orders(struct agent *agent, const char *body, size_t size)
+{
+    struct ow_worker_orders *orders = wire_worker_orders_parse(body, size);
+    agent_reporter_taken(&agent->reporter);
+    if (orders == NULL || !orders->has_token) {
+        wire_worker_orders_free(orders);
+        return;
+    }
+    bool in_time = agent_clock() - agent->report_clock <= REPORT_TIMEOUT_S;
+    bool accepted =
+        in_time && orders->token >= agent->session.token && agent->report_session == agent->session.number;
+    record_orders(agent, orders, "answer", accepted);
+    if (accepted) {
+        agent_lease_renew(agent->lease, agent->report_clock);
+        obey(agent, orders);
+    }
+    wire_worker_orders_free(orders);
+}
+
+static void take_answer(void *owner, uint64_t tag, int status, const char *body, size_t size)
+{
+    struct agent *agent = owner;
+    double now = ow_loop_now(agent->loop);
+    (void)tag;
+    check_lease(agent);
+    if (status == OW_HTTP_STATUS_OK) {
+        take_orders(agent, body, size);
+    } else if (status == OW_HTTP_STATUS_MISDIRECTED) {
+        char *name = wire_misdirected_parse(body, size);
+        agent_reporter_misdirected(&agent->reporter, name, now, g_random_double_range(0, 0.5));
+        g_free(name);
+    } else {
+        agent_reporter_failed(&agent->reporter, now);
+    }
+}
+
+/* ---- life ---- */
+
+static double serve_round(void *owner, double now)
+{
+    struct agent *agent = owner;
+    check_lease(agent);
+    if (agent_tasks_poll(agent->tasks))
+        agent_reporter_changed(&agent->reporter);
+    ow_http_client_sweep(agent->client, now);
+    ow_http_server_sweep(agent->server, now);
+    if (agent_reporter_is_due(&agent->reporter, now))
+        send_report(agent);
+    return ROUND_S;
+}
+
+static bool open_sockets(struct agent *agent)
+{
+    struct ow_http_server_options options = {agent->options->listen, BODY_LIMIT_BYTES, SERVER_CONNECTIONS,
+                                             IDLE_S};
+    ow_net_set_source(agent->options->listen);
+    agent->loop = ow_loop_new();
+    agent->client = ow_http_client_new(agent->loop, CLIENT_CONNECTIONS, take_answer, agent);
+    agent->server = ow_http_server_new(agent->loop, &options, handle_request, agent);
+    if (agent->server == NULL)
+        fprintf(stderr, "ospreywell-agent: cannot listen on %s\n", agent->options->listen);
+    return agent->server != NULL;
+}
+
+void agent_run(const struct agent_options *options)
+{
+    struct agent agent = {.options = options};
+    /* Whoever starts again waits here until the tasks of its last life are gone. */
+    if (!agent_history_open(&agent.history, options->history, options->machine) ||
+        !agent_session_open(&agent.session, options->state_dir) || !open_sockets(&agent))
+        return;
+    agent.lease = agent_lease_new(options->lease_s);
+    agent.tasks = agent_tasks_new(options, &agent.session, agent.lease, &agent.history);
+    agent_reporter_init(&agent.reporter, options, ow_loop_now(agent.loop));
+    agent_history_add(&agent.history, "session", ",\"session\":%" PRIu64, agent.session.number);
+    ow_loop_run(agent.loop, serve_round, &agent);
+}
--- /dev/null
+++ b/src/wire/agent_json.c
@@ -0,0 +1,146 @@
+#include "wire/agent_json.h"
+
+#include "wire/json.h"
+#include "wire/user_json.h"
+#include "wire/words.h"
+
+#include <string.h>
+
+/* The one field of a job's description that a submission has not. */
+#define F_COMMAND "command"
+
+static json_t *task_json(const struct ow_task_report *task)
+{
+    char name[OW_ID_MAX + 16];
+    g_snprintf(name, sizeof name, "%s/%u", task->job, task->task);
+    json_t *object = json_pack("{s:s,s:I,s:s}", W_TASK, name, W_ATTEMPT, (json_int_t)task->attempt, W_STATE,
+                               w_phases[task->phase]);
+    if (task->phase == OW_PHASE_EXITED)
+        json_object_set_new(object, W_CAUSE, json_string(w_causes[task->cause]));
+    if (task->saved)
+        json_object_set_new(object, W_SAVED, json_true());
+    return object;
+}
+
+char *wire_report(const struct ow_report *report)
+{
+    json_t *tasks = json_array();
+    for (guint i = 0; i < report->tasks->len; i++)
+        json_array_append_new(tasks, task_json(&g_array_index(report->tasks, struct ow_task_report, i)));
+    json_t *notice = report->notice_s >= 0 ? json_real(report->notice_s) : json_null();
+    return wj_take_text(json_pack("{s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:I,s:o,s:o}", W_MACHINE, report->machine,
+                                  W_ADDR, report->addr, W_TYPE, report->type, W_ZONE, report->zone, W_SPOT,
+                                  (int)report->spot, W_SESSION, (json_int_t)report->session, W_SEQ,
+                                  (json_int_t)report->seq, W_TOKEN, (json_int_t)report->token, W_NOTICE,
+                                  notice, W_TASKS, tasks));
+}
+
+/* "<job>/<task>". */
+static bool parse_task_name(const char *name, struct ow_worker_command *command)
+{
+    const char *slash = strrchr(name, '/');
+    guint64 task = 0;
+    if (slash == NULL || slash - name > OW_ID_MAX)
+        return false;
+    memcpy(command->job, name, (size_t)(slash - name));
+    command->job[slash - name] = '\0';
+    bool ok = wire_job_id_valid(command->job) &&
+              g_ascii_string_to_unsigned(slash + 1, 10, 0, OW_MAX_TASKS, &task, NULL);
+    command->task = (uint32_t)task;
+    return ok;
+}
+
+static bool parse_command(const json_t *object, struct ow_worker_command *command)
+{
+    const char *kind = NULL, *name = NULL;
+    memset(command, 0, sizeof *command);
+    if (!wj_string(object, W_OP, &kind) || !wj_string(object, W_TASK, &name) ||
+        !wj_count(object, W_ATTEMPT, &command->attempt))
+        return false;
+    int index = w_index(w_worker_commands, kind);
+    if (index < 0)
+        return false;
+    command->kind = (enum ow_worker_command_kind)index;
+    wj_number(object, W_GRACE, &command->grace_s);
+    return parse_task_name(name, command);
+}
+
+static bool parse_commands(const json_t *list, GArray *commands)
+{
+    size_t i;
+    json_t *item;
+    if (!json_is_array(list))
+        return false;
+    json_array_foreach(list, i, item)
+    {
+        struct ow_worker_command command;
+        if (!parse_command(item, &command))
+            return false;
+        g_array_append_val(commands, command);
+    }
+    return true;
+}
+
+struct ow_worker_orders *wire_worker_orders_parse(const char *text, size_t size)
+{
+    json_t *object = wj_object(text, size);
+    if (object == NULL)
+        return NULL;
+    struct ow_worker_orders *orders = g_new0(struct ow_worker_orders, 1);
+    orders->commands = g_array_new(FALSE, FALSE, sizeof(struct ow_worker_command));
+    orders->has_token = wj_count(object, W_TOKEN, &orders->token);
+    orders->has_session = wj_count(object, W_SESSION, &orders->session);
+    bool ok = parse_commands(json_object_get(object, W_COMMANDS), orders->commands);
+    json_decref(object);
+    if (ok)
+        return orders;
+    wire_worker_orders_free(orders);
+    return NULL;
+}
+
+void wire_worker_orders_free(struct ow_worker_orders *orders)
+{
+    if (orders == NULL)
+        return;
+    g_array_free(orders->commands, TRUE);
+    g_free(orders);
+}
+
+char *wire_misdirected_parse(const char *text, size_t size)
+{
+    json_t *object = wj_object(text, size);
+    const char *name = NULL;
+    if (object != NULL)
+        wj_string(object, W_REPORT_TO, &name);
+    char *copy = g_strdup(name);
+    json_decref(object);
+    return copy;
+}
+
+struct ow_job_description *wire_job_description_parse(const char *text, size_t size)
+{
+    const char *fault = NULL;
+    char id[OW_ID_MAX + 1];
+    json_t *object = wj_object(text, size);
+    char **command = object != NULL ? wj_strings(json_object_get(object, F_COMMAND)) : NULL;
+    json_decref(object);
+    struct ow_submission *submission = wire_submission_parse(text, size, id, &fault);
+    if (command == NULL || command[0] == NULL || submission == NULL) {
+        g_strfreev(command);
+        ow_submission_free(submission);
+        return NULL;
+    }
+    struct ow_job_description *description = g_new0(struct ow_job_description, 1);
+    description->submission = submission;
+    description->command = command;
+    return description;
+}
+
+void wire_job_description_free(struct ow_job_description *description)
+{
+    if (description == NULL)
+        return;
+    ow_submission_free(description->submission);
+    g_strfreev(description->command);
+    g_free(description);
+}
--- /dev/null
+++ b/src/wire/agent_json.h
@@ -0,0 +1,34 @@
+/* The worker's side of the protocol between workers and the service. */
+#ifndef OW_WIRE_AGENT_JSON_H
+#define OW_WIRE_AGENT_JSON_H
+
+#include "core/types.h"
+
+#include <stddef.h>
+
+/* Commands for a worker, from the answer to a report or from a request to its own address. */
+struct ow_worker_orders {
+    bool has_token, has_session;
+    uint64_t token, session;
+    GArray *commands; /* struct ow_worker_command */
+};
+
+/* A worker's report (g_free). */
+char *wire_report(const struct ow_report *report);
+/* NULL when malformed; a command that is not known makes it so. */
+struct ow_worker_orders *wire_worker_orders_parse(const char *text, size_t size);
+void wire_worker_orders_free(struct ow_worker_orders *orders);
+/* The controller named by a misdirected report's answer (g_free); NULL: none. */
+char *wire_misdirected_parse(const char *text, size_t size);
+
+/* A job as its user uploads it for the machines: its submission and the command that each task runs. */
+struct ow_job_description {
+    struct ow_submission *submission;
+    char **command; /* at least one word */
+};
+
+/* NULL when malformed. */
+struct ow_job_description *wire_job_description_parse(const char *text, size_t size);
+void wire_job_description_free(struct ow_job_description *description);
+
+#endif
