--- a/src/control/control.c
+++ b/src/control/control.c
@@ -1,32 +1,15 @@
 #include "control/control.h"
 
 #include "control/candidacy.h"
-#include "control/map_agreement.h"
-#include "control/request_router.h"
+#include "control/control_state.h"
 #include "control/shard_keys.h"
 #include "control/shard_map.h"
 
 #include <string.h>
 
-enum { STATUS_UNAVAILABLE = 503, RETRY_S = 1 };
-/* The index that tags of our own requests carry instead of a shard's. */
-static const uint64_t OWN_INDEX = OW_SHARDS_MAX;
 /* A shorter pause of the process is an ordinary delay. */
 static const double PAUSE_LEAST_S = 0.5;
 
-struct ow_control {
-    const struct ow_settings *settings;
-    const struct ow_control_settings *control_settings; /* NULL: not divided */
-    struct ow_core *core;                               /* the only one; NULL: divided */
-    GPtrArray *prefixes;                                /* of the shards' keys */
-    GPtrArray *shards;                                  /* struct ow_shard, owned */
-    struct ow_membership *membership;
-    struct ow_map_agreement agreement;
-    struct ow_request_router *router;
-    GQueue events; /* struct ow_event */
-    double now;
-};
-
 /* ---- life ---- */
 
 static void free_shard(void *item)
@@ -94,121 +77,13 @@
         g_queue_push_tail(&control->events, event);
 }
 
-static struct ow_shard *shard_at(const struct ow_control *control, guint index)
-{
-    return g_ptr_array_index(control->shards, index);
-}
-
-static void add_peer_message(GPtrArray *out, struct ow_peer_message *message)
-{
-    struct ow_effect *effect = g_new0(struct ow_effect, 1);
-    effect->kind = OW_EFFECT_PEER;
-    effect->peer = message;
-    g_ptr_array_add(out, effect);
-}
-
-/* Sends the messages of the membership. */
-static void send_messages(GPtrArray *messages, GPtrArray *out)
-{
-    for (guint i = 0; i < messages->len; i++)
-        add_peer_message(out, g_ptr_array_index(messages, i));
-    g_ptr_array_free(messages, TRUE);
-}
-
-static void refuse_report(uint64_t request, GPtrArray *out)
-{
-    struct ow_effect *effect = g_new0(struct ow_effect, 1);
-    effect->kind = OW_EFFECT_REFUSE;
-    effect->request = request;
-    effect->status = STATUS_UNAVAILABLE;
-    effect->retry_after_s = RETRY_S;
-    effect->text = g_strdup("no shard has machines of this zone");
-    g_ptr_array_add(out, effect);
-}
-
-static void dispatch_report(struct ow_control *control, struct ow_event *event, GPtrArray *out)
-{
-    int index = ow_shard_map_machine(control->control_settings, event->report->zone, event->report->type);
-    if (index >= 0) {
-        ow_shard_push(shard_at(control, (guint)index), event, control->now);
-        return;
-    }
-    refuse_report(event->request, out);
-    ow_event_free(event);
-}
-
-/* An answer to a request of a shard, or of ours. */
-static void dispatch_answer(struct ow_control *control, struct ow_event *event)
-{
-    uint64_t index = event->request >> OW_SHARD_TAG_BITS;
-    if (index < control->shards->len) {
-        event->request &= ((uint64_t)1 << OW_SHARD_TAG_BITS) - 1;
-        ow_shard_push(shard_at(control, (guint)index), event, control->now);
-        return;
-    }
-    if (index == OWN_INDEX)
-        ow_map_agreement_answered(&control->agreement, &event->store, control->now);
-    ow_event_free(event);
-}
-
-static struct ow_shard *shard_of_message(const struct ow_control *control,
-                                         const struct ow_peer_message *message)
-{
-    for (guint i = 0; i < control->shards->len; i++) {
-        struct ow_shard *shard = shard_at(control, i);
-        const char *name = shard->prefix != NULL ? shard->name : NULL;
-        if (g_strcmp0(name, message->shard) == 0)
-            return shard;
-    }
-    return NULL;
-}
-
-static void dispatch_peer(struct ow_control *control, struct ow_event *event, GPtrArray *out)
-{
-    const struct ow_peer_message *message = event->peer;
-    struct ow_shard *shard = shard_of_message(control, message);
-    if (message->kind == OW_PEER_HEARTBEAT || message->kind == OW_PEER_PROBE) {
-        GPtrArray *messages = g_ptr_array_new();
-        ow_membership_receive(control->membership, control->now, message, messages);
-        send_messages(messages, out);
-        /* A lost link is no evidence: in a divided fleet nobody is replaced before its lease has ended. */
-    } else if (message->kind != OW_PEER_LINK_LOST && shard != NULL) {
-        ow_shard_push(shard, event, control->now);
-        return;
-    }
-    ow_event_free(event);
-}
-
-static void dispatch(struct ow_control *control, struct ow_event *event, GPtrArray *out)
-{
-    switch (event->kind) {
-    case OW_EVENT_REPORT:
-        dispatch_report(control, event, out);
-        break;
-    case OW_EVENT_DIRECT_REPLY:
-    case OW_EVENT_STORE:
-    case OW_EVENT_CLOUD:
-        dispatch_answer(control, event);
-        break;
-    case OW_EVENT_PEER:
-        dispatch_peer(control, event, out);
-        break;
-    case OW_EVENT_CANCEL:
-    case OW_EVENT_POLL:
-    case OW_EVENT_TEAMS:
-    case OW_EVENT_SUBMIT:
-        ow_request_router_push(control->router, event, control->now);
-        break;
-    }
-}
-
 /* ---- runs ---- */
 
 static unsigned led_count(const struct ow_control *control)
 {
     unsigned count = 0;
     for (guint i = 0; i < control->shards->len; i++)
-        count += shard_at(control, i)->status.token != 0 ? 1 : 0;
+        count += ow_control_shard(control, i)->status.token != 0 ? 1 : 0;
     return count;
 }
 
@@ -216,7 +91,7 @@
 {
     GArray *led = ow_peer_shards_new();
     for (guint i = 0; i < control->shards->len; i++) {
-        const struct ow_shard *shard = shard_at(control, i);
+        const struct ow_shard *shard = ow_control_shard(control, i);
         bool serving = ow_handover_last(&shard->handover)->phase == OW_HANDOVER_SERVING;
         struct ow_peer_shard view = {(char *)shard->name, shard->status.token, serving,
                                      shard->status.machines};
@@ -231,7 +106,7 @@
     GArray *led = led_shards(control);
     GPtrArray *messages = g_ptr_array_new();
     ow_membership_tick(control->membership, control->now, led, messages);
-    send_messages(messages, out);
+    ow_control_send_messages(messages, out);
     g_array_free(led, TRUE);
 }
 
@@ -280,12 +155,12 @@
     control->now = now;
     struct ow_event *event;
     while ((event = g_queue_pop_head(&control->events)) != NULL)
-        dispatch(control, event, out);
+        ow_control_dispatch(control, event, out);
     tick_membership(control, out);
-    ow_map_agreement_tick(&control->agreement, now, OWN_INDEX << OW_SHARD_TAG_BITS, out);
+    ow_map_agreement_tick(&control->agreement, now, OW_OWN_INDEX << OW_SHARD_TAG_BITS, out);
     for (guint i = 0; i < control->shards->len; i++) {
-        run_shard(control, shard_at(control, i), time_of_day, out);
-        update_handover(control, shard_at(control, i));
+        run_shard(control, ow_control_shard(control, i), time_of_day, out);
+        update_handover(control, ow_control_shard(control, i));
     }
     ow_request_router_sweep(control->router, now);
     return out;
@@ -293,7 +168,7 @@
 
 double ow_control_idle_seconds(const struct ow_control *control)
 {
-    return ow_core_idle_seconds(control->core != NULL ? control->core : shard_at(control, 0)->core);
+    return ow_core_idle_seconds(control->core != NULL ? control->core : ow_control_shard(control, 0)->core);
 }
 
 bool ow_control_healthy(const struct ow_control *control)
@@ -301,7 +176,7 @@
     if (control->core != NULL)
         return ow_core_healthy(control->core);
     for (guint i = 0; i < control->shards->len; i++)
-        if (!ow_core_healthy(shard_at(control, i)->core))
+        if (!ow_core_healthy(ow_control_shard(control, i)->core))
             return false;
     return true;
 }
@@ -310,7 +185,7 @@
 {
     uint64_t highest = control->core != NULL ? ow_core_token(control->core) : 0;
     for (guint i = 0; control->core == NULL && i < control->shards->len; i++)
-        highest = MAX(highest, shard_at(control, i)->status.token);
+        highest = MAX(highest, ow_control_shard(control, i)->status.token);
     return highest;
 }
 
@@ -320,7 +195,7 @@
         return false;
     bool doubtful = false;
     for (guint i = 0; i < control->shards->len; i++) {
-        struct ow_shard *shard = shard_at(control, i);
+        struct ow_shard *shard = ow_control_shard(control, i);
         ow_shard_resumed(shard, now);
         bool leads = shard->status.token != 0;
         doubtful |= leads && ow_lease_guard_check(&shard->guard, now) != OW_LEASE_HELD;
--- /dev/null
+++ b/src/control/control_dispatch.c
@@ -0,0 +1,106 @@
+#include "control/control_state.h"
+#include "control/shard_map.h"
+
+enum { STATUS_UNAVAILABLE = 503, RETRY_S = 1 };
+
+static void add_peer_message(GPtrArray *out, struct ow_peer_message *message)
+{
+    struct ow_effect *effect = g_new0(struct ow_effect, 1);
+    effect->kind = OW_EFFECT_PEER;
+    effect->peer = message;
+    g_ptr_array_add(out, effect);
+}
+
+void ow_control_send_messages(GPtrArray *messages, GPtrArray *out)
+{
+    for (guint i = 0; i < messages->len; i++)
+        add_peer_message(out, g_ptr_array_index(messages, i));
+    g_ptr_array_free(messages, TRUE);
+}
+
+static void refuse_report(uint64_t request, GPtrArray *out)
+{
+    struct ow_effect *effect = g_new0(struct ow_effect, 1);
+    effect->kind = OW_EFFECT_REFUSE;
+    effect->request = request;
+    effect->status = STATUS_UNAVAILABLE;
+    effect->retry_after_s = RETRY_S;
+    effect->text = g_strdup("no shard has machines of this zone");
+    g_ptr_array_add(out, effect);
+}
+
+static void dispatch_report(struct ow_control *control, struct ow_event *event, GPtrArray *out)
+{
+    int index = ow_shard_map_machine(control->control_settings, event->report->zone, event->report->type);
+    if (index >= 0) {
+        ow_shard_push(ow_control_shard(control, (guint)index), event, control->now);
+        return;
+    }
+    refuse_report(event->request, out);
+    ow_event_free(event);
+}
+
+/* An answer to a request of a shard, or of ours. */
+static void dispatch_answer(struct ow_control *control, struct ow_event *event)
+{
+    uint64_t index = event->request >> OW_SHARD_TAG_BITS;
+    if (index < control->shards->len) {
+        event->request &= ((uint64_t)1 << OW_SHARD_TAG_BITS) - 1;
+        ow_shard_push(ow_control_shard(control, (guint)index), event, control->now);
+        return;
+    }
+    if (index == OW_OWN_INDEX)
+        ow_map_agreement_answered(&control->agreement, &event->store, control->now);
+    ow_event_free(event);
+}
+
+static struct ow_shard *shard_of_message(const struct ow_control *control,
+                                         const struct ow_peer_message *message)
+{
+    for (guint i = 0; i < control->shards->len; i++) {
+        struct ow_shard *shard = ow_control_shard(control, i);
+        const char *name = shard->prefix != NULL ? shard->name : NULL;
+        if (g_strcmp0(name, message->shard) == 0)
+            return shard;
+    }
+    return NULL;
+}
+
+static void dispatch_peer(struct ow_control *control, struct ow_event *event, GPtrArray *out)
+{
+    const struct ow_peer_message *message = event->peer;
+    struct ow_shard *shard = shard_of_message(control, message);
+    if (message->kind == OW_PEER_HEARTBEAT || message->kind == OW_PEER_PROBE) {
+        GPtrArray *messages = g_ptr_array_new();
+        ow_membership_receive(control->membership, control->now, message, messages);
+        ow_control_send_messages(messages, out);
+        /* A lost link is no evidence: in a divided fleet nobody is replaced before its lease has ended. */
+    } else if (message->kind != OW_PEER_LINK_LOST && shard != NULL) {
+        ow_shard_push(shard, event, control->now);
+        return;
+    }
+    ow_event_free(event);
+}
+
+void ow_control_dispatch(struct ow_control *control, struct ow_event *event, GPtrArray *out)
+{
+    switch (event->kind) {
+    case OW_EVENT_REPORT:
+        dispatch_report(control, event, out);
+        break;
+    case OW_EVENT_DIRECT_REPLY:
+    case OW_EVENT_STORE:
+    case OW_EVENT_CLOUD:
+        dispatch_answer(control, event);
+        break;
+    case OW_EVENT_PEER:
+        dispatch_peer(control, event, out);
+        break;
+    case OW_EVENT_CANCEL:
+    case OW_EVENT_POLL:
+    case OW_EVENT_TEAMS:
+    case OW_EVENT_SUBMIT:
+        ow_request_router_push(control->router, event, control->now);
+        break;
+    }
+}
--- a/src/control/phi_detector.c
+++ b/src/control/phi_detector.c
@@ -7,6 +7,8 @@
 static const double DEVIATION_SHARE_MIN = 0.25;
 /* Before so many intervals have been seen the expected one counts, with its full length as deviation. */
 enum { INTERVALS_LEAST = 5 };
+/* An interval counts as at most so many times the mean. */
+static const double INTERVAL_GROWTH_MAX = 3;
 /* Beyond this the probability is too small for a double. */
 static const double PHI_MAX = 300;
 
@@ -15,9 +17,25 @@
     *detector = (struct ow_phi_detector){.expected_s = expected_s, .last_at = -1};
 }
 
+static void estimate(const struct ow_phi_detector *detector, double *mean, double *deviation)
+{
+    if (detector->count < INTERVALS_LEAST) {
+        *mean = *deviation = detector->expected_s;
+        return;
+    }
+    *mean = detector->sum / detector->count;
+    double variance = detector->square_sum / detector->count - *mean * *mean;
+    *deviation = fmax(sqrt(fmax(variance, 0)), DEVIATION_SHARE_MIN * *mean);
+}
+
 static void add_interval(struct ow_phi_detector *detector, double interval_s)
 {
     double *slot = &detector->intervals[detector->next];
+    double mean = 0, deviation = 0;
+    estimate(detector, &mean, &deviation);
+    /* A failure is no sample of the network: taken whole, one long silence would hide the next for as long as
+       it stays in the history. A network that has really become slower is followed in steps. */
+    interval_s = fmin(interval_s, INTERVAL_GROWTH_MAX * mean);
     if (detector->count == OW_PHI_HISTORY) {
         detector->sum -= *slot;
         detector->square_sum -= *slot * *slot;
@@ -50,17 +68,6 @@
     detector->last_at = last_at;
 }
 
-static void estimate(const struct ow_phi_detector *detector, double *mean, double *deviation)
-{
-    if (detector->count < INTERVALS_LEAST) {
-        *mean = *deviation = detector->expected_s;
-        return;
-    }
-    *mean = detector->sum / detector->count;
-    double variance = detector->square_sum / detector->count - *mean * *mean;
-    *deviation = fmax(sqrt(fmax(variance, 0)), DEVIATION_SHARE_MIN * *mean);
-}
-
 double ow_phi(const struct ow_phi_detector *detector, double now)
 {
     double mean = 0, deviation = 0;
--- a/src/io/peer_link.c
+++ b/src/io/peer_link.c
@@ -13,7 +13,8 @@
 /* A peer that takes nothing is cut off before its backlog matters. */
 enum {
     BACKLOG_MAX_BYTES = 1024 * 1024,
-    INCOMING_MAX = 32, /* links */
+    INCOMING_LEAST = 32, /* links that may come in, however few controllers there are */
+    INCOMING_EACH = 4,   /* for each other controller: some may be ending */
     READ_BYTES = 16 * 1024,
     LENGTH_BYTES = 4, /* before each frame */
 };
@@ -182,7 +183,7 @@
     int fd = ow_net_accept(links->listener.fd);
     if (fd < 0)
         return;
-    if (links->in->len >= INCOMING_MAX) {
+    if (links->in->len >= MAX(INCOMING_LEAST, INCOMING_EACH * links->out->len)) {
         close(fd);
         return;
     }
--- a/src/wire/peer_xdr.c
+++ b/src/wire/peer_xdr.c
@@ -1,131 +1,10 @@
 #include "wire/peer_xdr.h"
 
-#include "peer.h" /* made by rpcgen from peer.x */
+#include "wire/peer_body.h"
 
 #include <arpa/inet.h>
 #include <string.h>
 
-/* The body of a message: one of these, by its kind. */
-union body {
-    peer_hello hello;
-    peer_summary summary;
-    peer_job_changed job_changed;
-    peer_machines machines;
-    peer_machines_part machines_part;
-    peer_cancellation cancellation;
-    peer_cancellation_ack cancellation_ack;
-    peer_heartbeat heartbeat;
-    peer_probe probe;
-};
-
-static xdrproc_t body_coder(unsigned kind)
-{
-    switch (kind) {
-    case PEER_HELLO:
-        return (xdrproc_t)xdr_peer_hello;
-    case PEER_SUMMARY:
-        return (xdrproc_t)xdr_peer_summary;
-    case PEER_JOB_CHANGED:
-        return (xdrproc_t)xdr_peer_job_changed;
-    case PEER_MACHINES:
-        return (xdrproc_t)xdr_peer_machines;
-    case PEER_MACHINES_PART:
-        return (xdrproc_t)xdr_peer_machines_part;
-    case PEER_CANCELLATION:
-        return (xdrproc_t)xdr_peer_cancellation;
-    case PEER_CANCELLATION_ACK:
-        return (xdrproc_t)xdr_peer_cancellation_ack;
-    case PEER_HEARTBEAT:
-        return (xdrproc_t)xdr_peer_heartbeat;
-    case PEER_PROBE:
-        return (xdrproc_t)xdr_peer_probe;
-    default:
-        return NULL;
-    }
-}
-
-/* The jobs of a summary; the caller frees the array, but not its texts. */
-static peer_job *fill_jobs(const GArray *jobs)
-{
-    static char none[] = "";
-    peer_job *filled = g_new0(peer_job, jobs->len);
-    for (guint i = 0; i < jobs->len; i++) {
-        struct ow_peer_job *job = &g_array_index(jobs, struct ow_peer_job, i);
-        filled[i] = (peer_job){job->id, job->done, job->running, job->reason != NULL ? job->reason : none};
-    }
-    return filled;
-}
-
-/* The same of a list of machines. */
-static peer_machine *fill_machines(const GArray *machines)
-{
-    peer_machine *filled = g_new0(peer_machine, machines->len);
-    for (guint i = 0; i < machines->len; i++) {
-        struct ow_peer_machine *machine = &g_array_index(machines, struct ow_peer_machine, i);
-        filled[i] = (peer_machine){machine->name, machine->addr, machine->type, machine->zone, machine->spot};
-    }
-    return filled;
-}
-
-/* The same of the shards that the sender of a heartbeat leads. */
-static peer_led_shard *fill_shards(const GArray *shards)
-{
-    peer_led_shard *filled = g_new0(peer_led_shard, shards->len);
-    for (guint i = 0; i < shards->len; i++) {
-        struct ow_peer_shard *shard = &g_array_index(shards, struct ow_peer_shard, i);
-        filled[i] = (peer_led_shard){shard->name, shard->token, shard->serving, shard->machines};
-    }
-    return filled;
-}
-
-/* Answers with a list that the caller frees, or NULL. */
-static void *fill_body(struct ow_peer_message *message, union body *body)
-{
-    switch (message->kind) {
-    case OW_PEER_HELLO:
-        body->hello = (peer_hello){message->sender, message->number, message->leads, message->state_ok,
-                                   message->receives_reports};
-        return NULL;
-    case OW_PEER_SUMMARY:
-        body->summary = (peer_summary){message->number, {message->jobs->len, fill_jobs(message->jobs)}};
-        return body->summary.jobs.jobs_val;
-    case OW_PEER_JOB_CHANGED:
-        body->job_changed.revision = message->number;
-        return NULL;
-    case OW_PEER_MACHINES:
-        body->machines =
-            (peer_machines){message->number, {message->machines->len, fill_machines(message->machines)}};
-        return body->machines.machines.machines_val;
-    case OW_PEER_MACHINES_PART:
-        body->machines_part =
-            (peer_machines_part){message->number,
-                                 message->part,
-                                 message->part_count,
-                                 {message->machines->len, fill_machines(message->machines)}};
-        return body->machines_part.machines.machines_val;
-    case OW_PEER_CANCELLATION:
-        body->cancellation = (peer_cancellation){message->job, message->revision, message->number};
-        return NULL;
-    case OW_PEER_CANCELLATION_ACK:
-        body->cancellation_ack = (peer_cancellation_ack){message->job, message->revision, message->number};
-        return NULL;
-    case OW_PEER_HEARTBEAT:
-        body->heartbeat = (peer_heartbeat){message->sender,
-                                           message->incarnation,
-                                           message->sequence,
-                                           message->digest,
-                                           {message->shards->len, fill_shards(message->shards)}};
-        return body->heartbeat.shards.shards_val;
-    case OW_PEER_PROBE:
-        body->probe = (peer_probe){message->sender, (u_int)message->step, message->origin,
-                                   message->relay,  message->target,      message->number};
-        return NULL;
-    case OW_PEER_LINK_LOST:
-        return NULL;
-    }
-    return NULL;
-}
-
 /* Encodes into a new buffer; NULL if it does not fit. */
 static char *encode(xdrproc_t coder, void *value, uint32_t *size)
 {
@@ -152,14 +31,14 @@
 
 bool wire_peer_encode(struct ow_peer_message *message, GString *out)
 {
-    union body body;
+    union wire_peer_body body;
     uint32_t size = 0;
     u_int kind = (u_int)message->kind;
     memset(&body, 0, sizeof body);
-    xdrproc_t coder = body_coder(message->kind);
+    xdrproc_t coder = wire_peer_body_coder(message->kind);
     if (coder == NULL)
         return false;
-    void *list = fill_body(message, &body);
+    void *list = wire_peer_body_fill(message, &body);
     char *encoded = encode(coder, &body, &size);
     char *whole = NULL;
     if (encoded != NULL && message->shard != NULL && wrap_for_shard(message, &encoded, &size))
@@ -180,107 +59,6 @@
     return ok;
 }
 
-static void read_summary(const peer_summary *summary, struct ow_peer_message *message)
-{
-    message->number = summary->token;
-    for (u_int i = 0; i < summary->jobs.jobs_len; i++) {
-        const peer_job *entry = &summary->jobs.jobs_val[i];
-        struct ow_peer_job job = {
-            .done = entry->done, .running = entry->running, .reason = g_strdup(entry->reason)};
-        g_strlcpy(job.id, entry->id, sizeof job.id);
-        g_array_append_val(message->jobs, job);
-    }
-}
-
-static void read_machines(const peer_machine *machines, u_int count, struct ow_peer_message *message)
-{
-    for (u_int i = 0; i < count; i++) {
-        const peer_machine *machine = &machines[i];
-        struct ow_peer_machine hint = {g_strdup(machine->name), g_strdup(machine->addr),
-                                       g_strdup(machine->type), g_strdup(machine->zone), machine->spot};
-        g_array_append_val(message->machines, hint);
-    }
-}
-
-static void read_machines_part(const peer_machines_part *part, struct ow_peer_message *message)
-{
-    message->number = part->token;
-    message->part = part->part;
-    /* A list of more parts than there may be is none: its parts are dropped one by one. */
-    message->part_count = part->part_count <= PEER_PARTS_MAX ? part->part_count : 0;
-    read_machines(part->machines.machines_val, part->machines.machines_len, message);
-}
-
-static void read_heartbeat(const peer_heartbeat *heartbeat, struct ow_peer_message *message)
-{
-    message->sender = g_strdup(heartbeat->sender);
-    message->incarnation = heartbeat->incarnation;
-    message->sequence = heartbeat->sequence;
-    message->digest = heartbeat->digest;
-    for (u_int i = 0; i < heartbeat->shards.shards_len; i++) {
-        const peer_led_shard *entry = &heartbeat->shards.shards_val[i];
-        struct ow_peer_shard shard = {entry->name, entry->token, entry->serving, entry->machines};
-        ow_peer_shards_add(message->shards, &shard);
-    }
-}
-
-/* A step that is not known stays beyond those that are. */
-static void read_probe(const peer_probe *probe, struct ow_peer_message *message)
-{
-    message->sender = g_strdup(probe->sender);
-    message->step = probe->step < OW_PROBE_STEPS ? (enum ow_probe_step)probe->step : OW_PROBE_STEPS;
-    message->origin = g_strdup(probe->origin);
-    message->relay = g_strdup(probe->relay);
-    message->target = g_strdup(probe->target);
-    message->number = probe->number;
-}
-
-static struct ow_peer_message *read_body(unsigned kind, const union body *body)
-{
-    struct ow_peer_message *message = ow_peer_message_new((enum ow_peer_kind)kind);
-    switch (message->kind) {
-    case OW_PEER_HELLO:
-        message->sender = g_strdup(body->hello.sender);
-        message->number = body->hello.token;
-        message->leads = body->hello.leads;
-        message->state_ok = body->hello.state_ok;
-        message->receives_reports = body->hello.receives_reports;
-        break;
-    case OW_PEER_SUMMARY:
-        read_summary(&body->summary, message);
-        break;
-    case OW_PEER_JOB_CHANGED:
-        message->number = body->job_changed.revision;
-        break;
-    case OW_PEER_MACHINES:
-        message->number = body->machines.token;
-        read_machines(body->machines.machines.machines_val, body->machines.machines.machines_len, message);
-        break;
-    case OW_PEER_MACHINES_PART:
-        read_machines_part(&body->machines_part, message);
-        break;
-    case OW_PEER_CANCELLATION:
-        g_strlcpy(message->job, body->cancellation.job, sizeof message->job);
-        message->revision = body->cancellation.revision;
-        message->number = body->cancellation.token;
-        break;
-    case OW_PEER_CANCELLATION_ACK:
-        g_strlcpy(message->job, body->cancellation_ack.job, sizeof message->job);
-        message->revision = body->cancellation_ack.revision;
-        message->number = body->cancellation_ack.token;
-        break;
-    case OW_PEER_HEARTBEAT:
-        read_heartbeat(&body->heartbeat, message);
-        break;
-    case OW_PEER_PROBE:
-        read_probe(&body->probe, message);
-        break;
-    case OW_PEER_LINK_LOST:
-        break;
-    }
-    return message;
-}
-
 /* What comes behind the fields that we know is a later version's and is left alone. */
 static bool decode(xdrproc_t coder, const char *data, size_t size, void *value)
 {
@@ -294,15 +72,15 @@
 /* Reads a body of this kind: NULL and true where the kind is unknown. */
 static bool decode_body(unsigned kind, const char *data, size_t size, struct ow_peer_message **message)
 {
-    union body body;
-    xdrproc_t coder = body_coder(kind);
+    union wire_peer_body body;
+    xdrproc_t coder = wire_peer_body_coder(kind);
     memset(&body, 0, sizeof body);
     *message = NULL;
     if (coder == NULL)
         return true;
     bool ok = decode(coder, data, size, &body);
     if (ok)
-        *message = read_body(kind, &body);
+        *message = wire_peer_body_read(kind, &body);
     xdr_free(coder, (char *)&body);
     return ok;
 }
--- a/tests/loopback/checker.py
+++ b/tests/loopback/checker.py
@@ -140,9 +140,11 @@
     launches = [e for e in machines if e["event"] == "launched"]
     measured = []
     for fault in (e for e in events if e["event"] == "fault" and e.get("shards")):
+        over = next((e["t"] for e in events if e["event"] == "fault-over" and e["t"] > fault["t"]), fault["t"])
         for shard in fault["shards"]:
             successor = next((e for e in leaders if e["shard"] == shard and e["leader"] and e["t"] > fault["t"]), None)
-            if successor is None:
+            # A later term is another fault's: this one took nobody's lease.
+            if successor is None or successor["t"] > over:
                 continue
             first = next((e for e in launches if e["token"] == successor["token"]), None)
             measured.append({"shard": shard, "kind": fault["kind"], "condemned_s": successor["t"] - fault["t"],
--- /dev/null
+++ b/tests/test_agent_tasks.c
@@ -0,0 +1,288 @@
+/* The thin agent: what outlives its process, and that its tasks end with their lease, their agent, or when
+ * told. Tasks are real processes. */
+#include "agent/tasks.h"
+#include "agent_setup.h"
+#include "check.h"
+#include "wire/agent_json.h"
+
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+/* Longer than anything that is waited for takes. */
+static const double PATIENCE_S = 30;
+
+static void test_session_and_token_outlive_the_process(void **state)
+{
+    (void)state;
+    char *directory = agent_setup_directory();
+    struct agent_session session;
+    assert_true(agent_session_open(&session, directory));
+    assert_int_equal(session.number, 1);
+    agent_session_set_token(&session, 77);
+    agent_session_begin_next(&session);
+    agent_session_close(&session);
+    assert_true(agent_session_open(&session, directory));
+    assert_int_equal(session.number, 3);
+    assert_int_equal(session.token, 77);
+    agent_session_close(&session);
+    /* A file that can't be read is no new machine. */
+    char *path = g_build_filename(directory, "session", NULL);
+    assert_true(g_file_set_contents(path, "what", -1, NULL));
+    g_free(path);
+    assert_false(agent_session_open(&session, directory));
+    agent_session_close(&session);
+    agent_setup_remove(directory);
+}
+
+/* ---- tasks ---- */
+
+struct bench {
+    char *directory;
+    struct agent_options options;
+    struct agent_session session;
+    struct agent_lease *lease;
+    struct agent_history history;
+    struct agent_tasks *tasks;
+};
+
+/* The description of the job "run-1", of which each task runs a shell command. */
+static void describe_job(const struct bench *bench, double cpus, double checkpoint_s, const char *command)
+{
+    char *path = g_build_filename(bench->directory, "run-1.json", NULL);
+    char *text = g_strdup_printf(
+        "{\"ref\":\"run-1\",\"flock\":\"f\",\"roost\":\"t\",\"shape\":\"batch\",\"rank\":\"low\",\"talons\":"
+        "4,"
+        "\"cores\":%g,\"gpus\":0,\"ram_gb\":1,\"plumage\":\"i\",\"image_gb\":0,\"same_place\":false,"
+        "\"scatter\":false,\"windfall\":false,\"flight_s\":1,\"molt_s\":%g,\"preen_s\":1,"
+        "\"command\":[\"sh\",\"-c\",\"%s\"]}",
+        cpus, checkpoint_s, command);
+    assert_true(g_file_set_contents(path, text, -1, NULL));
+    g_free(text);
+    g_free(path);
+}
+
+static void open_bench(struct bench *bench, double lease_s)
+{
+    *bench = (struct bench){
+        .directory = agent_setup_directory(), .options = agent_setup_options(), .history = {-1, "m-1"}};
+    bench->options.jobs_dir = bench->directory;
+    bench->options.lease_s = lease_s;
+    assert_true(agent_session_open(&bench->session, bench->directory));
+    bench->lease = agent_lease_new(lease_s);
+    bench->tasks = agent_tasks_new(&bench->options, &bench->session, bench->lease, &bench->history);
+}
+
+static void close_bench(struct bench *bench)
+{
+    agent_tasks_free(bench->tasks);
+    agent_lease_free(bench->lease);
+    agent_session_close(&bench->session);
+    g_array_free(bench->options.controllers, TRUE);
+    agent_setup_remove(bench->directory);
+}
+
+static void obey(struct bench *bench, enum ow_worker_command_kind kind, uint32_t task, uint64_t attempt,
+                 double grace_s)
+{
+    GArray *commands = g_array_new(FALSE, TRUE, sizeof(struct ow_worker_command));
+    struct ow_worker_command command = {kind, "run-1", task, attempt, grace_s};
+    g_array_append_val(commands, command);
+    agent_tasks_obey(bench->tasks, commands);
+    g_array_free(commands, TRUE);
+}
+
+/* What a report says of the first task, after all have ended. */
+static struct ow_task_report wait_for_end(struct bench *bench)
+{
+    double until = agent_clock() + PATIENCE_S;
+    while (agent_tasks_any_running(bench->tasks) && agent_clock() < until) {
+        agent_tasks_poll(bench->tasks);
+        g_usleep(10000);
+    }
+    GArray *reports = g_array_new(FALSE, TRUE, sizeof(struct ow_task_report));
+    agent_tasks_report(bench->tasks, reports);
+    assert_true(reports->len > 0);
+    struct ow_task_report first = g_array_index(reports, struct ow_task_report, 0);
+    g_array_free(reports, TRUE);
+    assert_int_equal(first.phase, OW_PHASE_EXITED);
+    return first;
+}
+
+static guint count_tasks(const struct bench *bench)
+{
+    GArray *reports = g_array_new(FALSE, TRUE, sizeof(struct ow_task_report));
+    agent_tasks_report(bench->tasks, reports);
+    guint count = reports->len;
+    g_array_free(reports, TRUE);
+    return count;
+}
+
+static void test_ends_are_reported_with_their_cause(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *command;
+        enum ow_cause cause;
+    } ends[] = {{"exit 0", OW_CAUSE_DONE},
+                {"exit 1", OW_CAUSE_ERROR},
+                {"exit 75", OW_CAUSE_PEERS},
+                {"kill -9 $$", OW_CAUSE_ERROR},
+                {"test $OSPREYWELL_JOB/$OSPREYWELL_TASK/$OSPREYWELL_ATTEMPT = run-1/2/6", OW_CAUSE_DONE}};
+    for (guint i = 0; i < G_N_ELEMENTS(ends); i++) {
+        struct bench bench;
+        open_bench(&bench, 60);
+        describe_job(&bench, 1, 0, ends[i].command);
+        obey(&bench, OW_WORKER_LAUNCH, 2, 6, 0);
+        assert_int_equal(wait_for_end(&bench).cause, ends[i].cause);
+        close_bench(&bench);
+    }
+}
+
+static void test_launches_are_refused(void **state)
+{
+    (void)state;
+    struct bench bench;
+    open_bench(&bench, 60);
+    obey(&bench, OW_WORKER_LAUNCH, 0, 1, 0);
+    assert_int_equal(wait_for_end(&bench).cause, OW_CAUSE_UNKNOWN);
+    obey(&bench, OW_WORKER_CLEAR, 0, 1, 0);
+    describe_job(&bench, 3, 0, "sleep 60");
+    obey(&bench, OW_WORKER_LAUNCH, 0, 2, 0);
+    obey(&bench, OW_WORKER_LAUNCH, 0, 2, 0); /* a repeat has no effect */
+    assert_int_equal(count_tasks(&bench), 1);
+    obey(&bench, OW_WORKER_LAUNCH, 0, 3, 0); /* the task is here with another attempt */
+    obey(&bench, OW_WORKER_LAUNCH, 1, 1, 0); /* 3 of 4 CPUs are taken */
+    obey(&bench, OW_WORKER_LAUNCH, 9, 1, 0); /* the job has 4 tasks */
+    GArray *reports = g_array_new(FALSE, TRUE, sizeof(struct ow_task_report));
+    agent_tasks_report(bench.tasks, reports);
+    static const enum ow_cause causes[] = {OW_CAUSE_NONE, OW_CAUSE_BUSY, OW_CAUSE_FULL, OW_CAUSE_UNKNOWN};
+    assert_int_equal(reports->len, G_N_ELEMENTS(causes));
+    for (guint i = 0; i < reports->len; i++)
+        assert_int_equal(g_array_index(reports, struct ow_task_report, i).cause, causes[i]);
+    g_array_free(reports, TRUE);
+    /* Running tasks are not cleared. */
+    obey(&bench, OW_WORKER_CLEAR, 0, 2, 0);
+    assert_int_equal(count_tasks(&bench), 4);
+    close_bench(&bench);
+}
+
+static void test_stopped_task_saves_in_its_grace(void **state)
+{
+    (void)state;
+    static const struct {
+        double checkpoint_s, grace_s;
+        const char *command;
+        bool saved;
+    } stops[] = {
+        {10, 20, "trap 'exit 0' TERM; while :; do sleep 0.05; done", true},
+        {10, 20, "trap 'exit 3' TERM; while :; do sleep 0.05; done", false},
+        {10, 0.5, "trap 'exit 0' TERM; while :; do sleep 0.05; done", false}, /* less than it needs */
+        {0, 20, "trap 'exit 0' TERM; while :; do sleep 0.05; done", false},   /* it never saves */
+        {10, 1.5, "trap '' TERM; while :; do sleep 0.05; done", false}};      /* it is killed */
+    for (guint i = 0; i < G_N_ELEMENTS(stops); i++) {
+        struct bench bench;
+        open_bench(&bench, 120);
+        describe_job(&bench, 1, stops[i].checkpoint_s, stops[i].command);
+        obey(&bench, OW_WORKER_LAUNCH, 0, 1, 0);
+        g_usleep(300000); /* until the trap is set */
+        obey(&bench, OW_WORKER_STOP, 0, 1, stops[i].grace_s);
+        struct ow_task_report end = wait_for_end(&bench);
+        assert_int_equal(end.cause, OW_CAUSE_STOPPED);
+        assert_int_equal(end.saved, stops[i].saved);
+        close_bench(&bench);
+    }
+}
+
+/* Nobody renews the lease, and the agent itself does nothing: its supervisors end the tasks. */
+static void test_tasks_end_with_the_lease_while_the_agent_stands_still(void **state)
+{
+    (void)state;
+    struct bench bench;
+    open_bench(&bench, 1);
+    describe_job(&bench, 1, 0, "sleep 600");
+    obey(&bench, OW_WORKER_LAUNCH, 0, 1, 0);
+    obey(&bench, OW_WORKER_LAUNCH, 1, 1, 0);
+    double begun = agent_clock();
+    assert_int_equal(wait_for_end(&bench).cause, OW_CAUSE_ERROR);
+    assert_true(agent_clock() - begun < PATIENCE_S);
+    assert_true(agent_lease_is_over(bench.lease));
+    close_bench(&bench);
+}
+
+static void test_renewal_counts_from_when_the_report_was_sent(void **state)
+{
+    (void)state;
+    struct agent_lease *lease = agent_lease_new(10);
+    double now = agent_clock();
+    agent_lease_renew(lease, now - 4);
+    assert_true(agent_lease_until(lease) >= now + 9); /* an earlier report takes nothing away */
+    agent_lease_renew(lease, now + 5);
+    assert_true(agent_lease_until(lease) == now + 15);
+    agent_lease_free(lease);
+}
+
+/* Whether a process of this id is there and no zombie of ours. */
+static bool process_exists(pid_t pid)
+{
+    return kill(pid, 0) == 0;
+}
+
+/* An agent that is killed leaves no task: the next one waits for that, and begins a new session. */
+static void test_restarted_agent_waits_until_no_task_is_left(void **state)
+{
+    (void)state;
+    char *directory = agent_setup_directory();
+    char *pid_file = g_build_filename(directory, "history", NULL);
+    pid_t agent = fork();
+    if (agent == 0) {
+        /* An agent's life up to the moment at which it is killed. */
+        struct bench bench = {
+            .directory = directory, .options = agent_setup_options(), .history = {-1, "m-1"}};
+        bench.options.jobs_dir = directory;
+        bool ok = agent_session_open(&bench.session, directory);
+        bench.lease = agent_lease_new(600);
+        bench.tasks = agent_tasks_new(&bench.options, &bench.session, bench.lease, &bench.history);
+        char *command = g_strdup_printf("echo $$ > %s; exec sleep 600", pid_file);
+        describe_job(&bench, 1, 0, command);
+        obey(&bench, OW_WORKER_LAUNCH, 0, 1, 0);
+        if (ok)
+            sleep((unsigned)PATIENCE_S);
+        _exit(1);
+    }
+    char *text = NULL;
+    for (double until = agent_clock() + PATIENCE_S; agent_clock() < until; g_usleep(10000)) {
+        g_free(text);
+        text = NULL;
+        if (g_file_get_contents(pid_file, &text, NULL, NULL) && strchr(text, '\n') != NULL)
+            break;
+    }
+    assert_non_null(text);
+    pid_t task = (pid_t)g_ascii_strtoll(text, NULL, 10);
+    assert_true(task > 0 && process_exists(task));
+    kill(agent, SIGKILL);
+    waitpid(agent, NULL, 0);
+    struct agent_session session;
+    assert_true(agent_session_open(&session, directory));
+    assert_false(process_exists(task));
+    assert_int_equal(session.number, 2);
+    agent_session_close(&session);
+    g_free(text);
+    g_free(pid_file);
+    agent_setup_remove(directory);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_session_and_token_outlive_the_process),
+        cmocka_unit_test(test_ends_are_reported_with_their_cause),
+        cmocka_unit_test(test_launches_are_refused),
+        cmocka_unit_test(test_stopped_task_saves_in_its_grace),
+        cmocka_unit_test(test_tasks_end_with_the_lease_while_the_agent_stands_still),
+        cmocka_unit_test(test_renewal_counts_from_when_the_report_was_sent),
+        cmocka_unit_test(test_restarted_agent_waits_until_no_task_is_left),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_candidacy.c
@@ -0,0 +1,101 @@
+/* Who runs for a shard that nobody leads. */
+#include "check.h"
+#include "control/candidacy.h"
+
+#include <string.h>
+
+enum { CONTROLLERS = 4 };
+static char *const names[CONTROLLERS] = {"self", "one", "two", "three"};
+
+/* The membership as one controller sees it. */
+struct bench {
+    struct ow_control_settings *control;
+    GArray *peers;
+    struct ow_membership *membership;
+};
+
+static void open_bench(struct bench *bench, int self)
+{
+    bench->control = ow_control_settings_new();
+    bench->peers = g_array_new(FALSE, TRUE, sizeof(struct ow_peer_settings));
+    for (int i = 0; i < CONTROLLERS; i++) {
+        struct ow_peer_settings peer = {.node = names[i]};
+        if (i != self)
+            g_array_append_val(bench->peers, peer);
+    }
+    bench->membership = ow_membership_new(bench->control, names[self], bench->peers, 1, 1);
+}
+
+static void close_bench(struct bench *bench)
+{
+    ow_membership_free(bench->membership);
+    g_array_free(bench->peers, TRUE);
+    ow_control_settings_free(bench->control);
+}
+
+/* A heartbeat of a controller that leads so many shards. */
+static void hear(struct bench *bench, const char *name, unsigned count)
+{
+    struct ow_peer_message *message = ow_peer_message_new(OW_PEER_HEARTBEAT);
+    struct ow_peer_shard shard = {.name = names[0], .token = 1};
+    GPtrArray *sent = g_ptr_array_new();
+    message->sender = g_strdup(name);
+    message->incarnation = message->sequence = message->digest = 1;
+    for (unsigned i = 0; i < count; i++)
+        ow_peer_shards_add(message->shards, &shard);
+    ow_membership_receive(bench->membership, 1, message, sent);
+    ow_peer_message_free(message);
+    g_ptr_array_free(sent, TRUE);
+}
+
+static void test_who_leads_least_runs_first(void **state)
+{
+    (void)state;
+    struct bench bench;
+    open_bench(&bench, 0);
+    /* Nobody is heard: nobody comes before us. */
+    assert_int_equal(ow_candidacy_rank(bench.membership, "self", 9, "north"), 0);
+    assert_null(ow_candidacy_successor(bench.membership, "self", 9, "north"));
+    hear(&bench, "one", 2);
+    hear(&bench, "two", 0);
+    hear(&bench, "three", 4);
+    assert_int_equal(ow_candidacy_rank(bench.membership, "self", 1, "north"), 1);
+    assert_int_equal(ow_candidacy_rank(bench.membership, "self", 3, "north"), 2);
+    assert_string_equal(ow_candidacy_successor(bench.membership, "self", 1, "north"), "two");
+    close_bench(&bench);
+}
+
+/* Among equals no two have the same rank, and different shards go to different controllers. */
+static void test_equals_are_ordered_by_shard(void **state)
+{
+    (void)state;
+    bool was_first[CONTROLLERS] = {false};
+    for (int shard = 0; shard < 40; shard++) {
+        char name[16];
+        unsigned ranks = 0;
+        g_snprintf(name, sizeof name, "shard-%d", shard);
+        for (int self = 0; self < CONTROLLERS; self++) {
+            struct bench bench;
+            open_bench(&bench, self);
+            for (int i = 0; i < CONTROLLERS; i++)
+                if (i != self)
+                    hear(&bench, names[i], 0);
+            unsigned rank = ow_candidacy_rank(bench.membership, names[self], 0, name);
+            ranks |= 1U << rank;
+            was_first[self] |= rank == 0;
+            close_bench(&bench);
+        }
+        assert_int_equal(ranks, (1U << CONTROLLERS) - 1);
+    }
+    for (int i = 0; i < CONTROLLERS; i++)
+        assert_true(was_first[i]);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_who_leads_least_runs_first),
+        cmocka_unit_test(test_equals_are_ordered_by_shard),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_pause.c
@@ -0,0 +1,57 @@
+/* A process that goes on after it stood still: the loop tells, and what waited to be sent is dropped. */
+#include "check.h"
+#include "socket_bench.h"
+
+/* More than a socket takes at once; how long a process stands still. */
+enum { LARGE_BYTES = 64 * 1024 * 1024 };
+static const double STANDSTILL_S = 0.3;
+
+/* What waits to be sent when a process goes on after a pause is dropped on either side. */
+static void test_unsent_bytes_are_dropped(void **state)
+{
+    (void)state;
+    struct socket_bench bench;
+    socket_bench_open(&bench);
+    char *large = g_strnfill(LARGE_BYTES, 'x');
+    socket_bench_send_held(&bench);
+    ow_http_server_answer(bench.server, bench.waiting, 200, NULL, large, LARGE_BYTES);
+    assert_int_equal(ow_http_server_count(bench.server), 1);
+    ow_http_server_drop_unsent(bench.server);
+    assert_int_equal(ow_http_server_count(bench.server), 0);
+    ow_http_client_send(bench.client, socket_endpoint, "POST", "/echo", large, 30, 8);
+    ow_http_client_drop_unsent(bench.client);
+    assert_int_equal(bench.replies, 1);
+    assert_int_equal(bench.status, 0);
+    g_free(large);
+    socket_bench_close(&bench);
+}
+
+static void note_lateness(void *owner, double late_s, double now)
+{
+    double *latest = owner;
+    (void)now;
+    *latest = late_s;
+}
+
+static void test_loop_tells_how_late_it_goes_on(void **state)
+{
+    (void)state;
+    struct socket_bench bench;
+    double late_s = 0;
+    socket_bench_open(&bench);
+    ow_loop_on_wake(bench.loop, note_lateness, &late_s);
+    ow_loop_once(bench.loop, socket_bench_sweep, &bench);
+    g_usleep((gulong)(STANDSTILL_S * G_USEC_PER_SEC));
+    ow_loop_once(bench.loop, socket_bench_sweep, &bench);
+    assert_true(late_s > STANDSTILL_S / 2);
+    socket_bench_close(&bench);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_unsent_bytes_are_dropped),
+        cmocka_unit_test(test_loop_tells_how_late_it_goes_on),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_shard_settings.c
@@ -0,0 +1,120 @@
+/* What a shard has of the fleet, and controllers whose settings do not fit those of the others. */
+#include "check.h"
+#include "control/shard_map.h"
+#include "control/shard_settings.h"
+#include "world.h"
+
+#include <string.h>
+
+enum { EAST, WEST, SHARDS };
+
+static void test_controller_with_other_settings_leads_nothing(void **state)
+{
+    (void)state;
+    struct world *w = world_with_shards(1);
+    world_kill_controllers(w);
+    ((struct ow_shard_settings *)g_ptr_array_index(w->control->shards, EAST))->share = 0.4;
+    world_start_controller(w, 0);
+    world_run(w, 30);
+    assert_int_equal(world_token(w, 0), 0);
+    const char *difference = ow_control_difference(w->controllers[0]);
+    assert_non_null(difference);
+    assert_non_null(
+        strstr(difference, "shard east: share of team open: \"0.4\" here, \"0.5\" in the stored map"));
+    world_finish(w);
+}
+
+/* The records of a fleet in use would be lost from sight. */
+static void test_fleet_in_use_is_not_divided(void **state)
+{
+    (void)state;
+    struct world *w = world_with_controllers(WORLD_CONTROLLERS, 1);
+    struct world *divided = world_with_shards(0);
+    world_kill_controllers(w);
+    w->control = g_steal_pointer(&divided->control);
+    world_kill_controllers(divided);
+    world_start_controllers(w);
+    world_run(w, 10);
+    for (int i = 0; i < WORLD_CONTROLLERS; i++) {
+        assert_int_equal(world_token(w, i), 0);
+        assert_non_null(strstr(ow_control_difference(w->controllers[i]), "in use without shards"));
+    }
+    world_finish(w);
+    world_free(divided);
+}
+
+/* A controller that does not know of shards must not lead the machines of a divided fleet. */
+static void test_undivided_controller_leads_nothing_of_a_divided_fleet(void **state)
+{
+    (void)state;
+    struct world *w = world_with_shards(1);
+    struct ow_control_settings *control = g_steal_pointer(&w->control);
+    world_kill_controller(w, 0);
+    world_start_controller(w, 0);
+    world_run(w, 30);
+    assert_int_equal(world_token(w, 0), 0);
+    world_kill_controllers(w);
+    w->control = control;
+    world_finish(w);
+}
+
+static void test_machines_belong_to_one_shard(void **state)
+{
+    (void)state;
+    struct ow_control_settings *control = ow_control_settings_new();
+    static const struct {
+        const char *name, *zones, *types;
+    } shards[] = {{"rest", "a b", NULL}, {"gpu", "a", "g4 g8"}, {"far", "c", NULL}};
+    for (guint i = 0; i < G_N_ELEMENTS(shards); i++) {
+        struct ow_shard_settings *shard = g_new0(struct ow_shard_settings, 1);
+        shard->name = g_strdup(shards[i].name);
+        shard->zones = g_strsplit(shards[i].zones, " ", 0);
+        shard->types = shards[i].types != NULL ? g_strsplit(shards[i].types, " ", 0) : NULL;
+        g_ptr_array_add(control->shards, shard);
+    }
+    assert_int_equal(ow_shard_map_machine(control, "a", "m8"), 0);
+    assert_int_equal(ow_shard_map_machine(control, "a", "g8"), 1);
+    assert_int_equal(ow_shard_map_machine(control, "b", "g8"), 0);
+    assert_int_equal(ow_shard_map_machine(control, "c", "g8"), 2);
+    assert_int_equal(ow_shard_map_machine(control, "d", "m8"), -1);
+    ow_control_settings_free(control);
+}
+
+/* Parts of limits and budgets never add up to more than the whole, and a part of nothing is no missing limit.
+ */
+static void test_parts_never_exceed_the_whole(void **state)
+{
+    (void)state;
+    struct world *w = world_with_shards(0);
+    const struct ow_settings *whole = &w->settings[0];
+    ((struct ow_shard_settings *)g_ptr_array_index(w->control->shards, EAST))->share = 1;
+    ((struct ow_shard_settings *)g_ptr_array_index(w->control->shards, WEST))->share = 0;
+    double state_rps = 0, write_rps = 0, cloud_rps = 0, limit = 0;
+    for (guint shard = 0; shard < SHARDS; shard++) {
+        struct ow_settings *part = ow_shard_settings_new(w->control, shard, whole);
+        const struct ow_team_settings *tight = &g_array_index(part->teams, struct ow_team_settings, 1);
+        assert_true(tight->cpus_max > 0);
+        assert_true(tight->gpus_max == 0);
+        state_rps += part->state_rps;
+        write_rps += part->state_write_rps;
+        cloud_rps += part->cloud_rps;
+        limit += tight->cpus_max;
+        ow_shard_settings_free(part);
+    }
+    assert_true(state_rps <= whole->state_rps && write_rps <= whole->state_write_rps);
+    assert_true(cloud_rps <= whole->cloud_rps);
+    assert_true(limit <= 8.001);
+    world_finish(w);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_controller_with_other_settings_leads_nothing),
+        cmocka_unit_test(test_fleet_in_use_is_not_divided),
+        cmocka_unit_test(test_undivided_controller_leads_nothing_of_a_divided_fleet),
+        cmocka_unit_test(test_machines_belong_to_one_shard),
+        cmocka_unit_test(test_parts_never_exceed_the_whole),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_suspicion.c
+++ b/tests/test_suspicion.c
@@ -1,7 +1,6 @@
 /* Failure detection between controllers: heartbeats, probes through others, suspicion; and who runs for a
  * shard. */
 #include "check.h"
-#include "control/candidacy.h"
 #include "control/membership.h"
 
 #include <string.h>
@@ -140,19 +139,37 @@
     assert_int_equal(steady.count, OW_PHI_HISTORY);
 }
 
-/* A single very long interval leaves the history after as many others: the sums are those of the ring. */
-static void test_phi_forgets_old_intervals(void **state)
+/* One long silence, a failure, must not hide the next: seen on a loopback run, where a controller that had
+   failed once was suspected after 6 s instead of 1.5 s. */
+static void test_phi_is_not_dulled_by_a_failure(void **state)
 {
     (void)state;
     struct ow_phi_detector detector;
+    double now = 0;
     ow_phi_init(&detector, HEARTBEAT_S);
+    for (int i = 0; i < 20; i++)
+        ow_phi_heartbeat(&detector, now += HEARTBEAT_S);
+    double before = ow_phi(&detector, now + 2.5);
+    assert_true(before > 8);
+    ow_phi_heartbeat(&detector, now += 60);
+    for (int i = 0; i < 3; i++)
+        ow_phi_heartbeat(&detector, now += HEARTBEAT_S);
+    assert_true(ow_phi(&detector, now + 2.5) > 8);
+}
+
+/* A network that has become slower is followed. */
+static void test_phi_follows_a_slower_network(void **state)
+{
+    (void)state;
+    struct ow_phi_detector detector;
     double now = 0;
-    ow_phi_heartbeat(&detector, now);
-    now += 500;
-    ow_phi_heartbeat(&detector, now);
+    ow_phi_init(&detector, HEARTBEAT_S);
     for (int i = 0; i < OW_PHI_HISTORY; i++)
-        ow_phi_heartbeat(&detector, now += 1);
-    assert_true(ow_phi(&detector, now + 4) > 8);
+        ow_phi_heartbeat(&detector, now += HEARTBEAT_S);
+    for (int i = 0; i < 2 * OW_PHI_HISTORY; i++)
+        ow_phi_heartbeat(&detector, now += 8);
+    assert_true(ow_phi(&detector, now + 9) < 2);
+    assert_true(ow_phi(&detector, now + 30) > 8);
 }
 
 /* ---- suspicion ---- */
@@ -270,87 +287,17 @@
     close_bench(&bench);
 }
 
-/* ---- who runs for a shard ---- */
-
-static void lead(struct bench *bench, const char *name, uint64_t incarnation, unsigned count)
-{
-    struct ow_peer_message *message = heartbeat(name, incarnation, ++bench->sequence);
-    struct ow_peer_shard shard = {.name = "any", .token = 1};
-    for (unsigned i = 0; i < count; i++)
-        ow_peer_shards_add(message->shards, &shard);
-    receive(bench, message);
-}
-
-static void test_who_leads_least_runs_first(void **state)
-{
-    (void)state;
-    struct bench bench;
-    open_bench(&bench);
-    /* Nobody is heard: nobody comes before us. */
-    assert_int_equal(ow_candidacy_rank(bench.membership, "self", 9, "north"), 0);
-    assert_null(ow_candidacy_successor(bench.membership, "self", 9, "north"));
-    lead(&bench, "one", 1, 2);
-    lead(&bench, "two", 2, 0);
-    lead(&bench, "three", 3, 4);
-    assert_int_equal(ow_candidacy_rank(bench.membership, "self", 1, "north"), 1);
-    assert_int_equal(ow_candidacy_rank(bench.membership, "self", 3, "north"), 2);
-    assert_string_equal(ow_candidacy_successor(bench.membership, "self", 1, "north"), "two");
-    close_bench(&bench);
-}
-
-/* Among equals no two have the same rank, and different shards go to different controllers. */
-static void test_equals_are_ordered_by_shard(void **state)
-{
-    (void)state;
-    bool first_seen[4] = {false};
-    static const char *const all[] = {"self", "one", "two", "three"};
-    for (int shard = 0; shard < 40; shard++) {
-        char name[16];
-        unsigned ranks = 0;
-        g_snprintf(name, sizeof name, "shard-%d", shard);
-        for (int i = 0; i < 4; i++) {
-            /* The same cluster as each of the four sees it. */
-            struct ow_control_settings *control = ow_control_settings_new();
-            GArray *peers = g_array_new(FALSE, TRUE, sizeof(struct ow_peer_settings));
-            for (int k = 0; k < 4; k++) {
-                struct ow_peer_settings peer = {.node = (char *)all[k]};
-                if (k != i)
-                    g_array_append_val(peers, peer);
-            }
-            struct ow_membership *membership = ow_membership_new(control, all[i], peers, 1, DIGEST);
-            GPtrArray *sent = g_ptr_array_new_with_free_func(free_message);
-            for (int k = 0; k < 4; k++) {
-                struct ow_peer_message *message = heartbeat(all[k], 5, 1);
-                if (k != i)
-                    ow_membership_receive(membership, 1, message, sent);
-                ow_peer_message_free(message);
-            }
-            unsigned rank = ow_candidacy_rank(membership, all[i], 0, name);
-            ranks |= 1U << rank;
-            first_seen[i] |= rank == 0;
-            ow_membership_free(membership);
-            g_ptr_array_free(sent, TRUE);
-            g_array_free(peers, TRUE);
-            ow_control_settings_free(control);
-        }
-        assert_int_equal(ranks, 0xf);
-    }
-    for (int i = 0; i < 4; i++)
-        assert_true(first_seen[i]);
-}
-
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_phi_grows_with_silence_and_follows_the_intervals),
-        cmocka_unit_test(test_phi_forgets_old_intervals),
+        cmocka_unit_test(test_phi_is_not_dulled_by_a_failure),
+        cmocka_unit_test(test_phi_follows_a_slower_network),
         cmocka_unit_test(test_silent_controller_is_probed_and_then_suspected),
         cmocka_unit_test(test_controller_that_others_reach_is_not_suspected),
         cmocka_unit_test(test_probes_are_carried_on),
         cmocka_unit_test(test_own_pause_suspects_nobody),
         cmocka_unit_test(test_wrong_messages_are_dropped),
-        cmocka_unit_test(test_who_leads_least_runs_first),
-        cmocka_unit_test(test_equals_are_ordered_by_shard),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/world.c
+++ b/tests/world.c
@@ -204,40 +204,6 @@
             world_kill_controller(w, i);
 }
 
-void world_freeze(struct world *w, int controller)
-{
-    w->frozen[controller] = true;
-    w->frozen_at[controller] = w->now;
-}
-
-void world_thaw(struct world *w, int controller)
-{
-    if (w->frozen[controller] && w->controllers[controller] != NULL)
-        ow_control_resumed(w->controllers[controller], w->now - w->frozen_at[controller], w->now);
-    w->frozen[controller] = false;
-}
-
-uint64_t world_token(const struct world *w, int controller)
-{
-    return ow_control_token(w->controllers[controller]);
-}
-
-int world_shard_leader(const struct world *w, guint shard)
-{
-    int leader = -1;
-    uint64_t highest = 0;
-    for (int i = 0; i < WORLD_CONTROLLERS; i++) {
-        if (w->controllers[i] == NULL)
-            continue;
-        const struct ow_shard *view = g_ptr_array_index(ow_control_shards(w->controllers[i]), shard);
-        if (view->status.token > highest) {
-            highest = view->status.token;
-            leader = i;
-        }
-    }
-    return leader;
-}
-
 static void deliver_due(struct world *w)
 {
     guint kept = 0;
--- a/tests/world.h
+++ b/tests/world.h
@@ -237,6 +237,10 @@
 
 /** An array of the team "open", of standard rank, that may run on spot machines. */
 struct ow_submission *world_job(const char *id, uint32_t tasks, double cpus);
+/** An array that may run in one zone only. */
+struct ow_submission *world_job_in(const char *id, const char *zone, uint32_t tasks);
+/** Submits the job, which it takes over, and fails unless it is accepted within 3 s. */
+void world_accept(struct world *w, int controller, struct ow_submission *job);
 struct ow_submission *world_service(const char *id, uint32_t replicas, double cpus);
 struct ow_submission *world_gang(const char *id, uint32_t tasks, double cpus);
 void world_set_team(struct ow_submission *submission, const char *team);
--- a/tests/world_setup.c
+++ b/tests/world_setup.c
@@ -91,31 +91,3 @@
     }
     world_run(w, 4);
 }
-
-static void add_shard(struct ow_control_settings *control, const char *zone)
-{
-    struct ow_shard_settings *shard = g_new0(struct ow_shard_settings, 1);
-    shard->name = g_strdup(zone);
-    shard->zones = g_strsplit(zone, " ", 0);
-    shard->share = 0.5;
-    g_ptr_array_add(control->shards, shard);
-}
-
-void world_divide(struct world *w)
-{
-    w->control = ow_control_settings_new();
-    w->control->enabled = true;
-    add_shard(w->control, "east");
-    add_shard(w->control, "west");
-}
-
-struct world *world_with_shards(int machines)
-{
-    struct world *w = world_new();
-    world_divide(w);
-    world_start_controllers(w);
-    world_add_group(w, "east", machines, "east", false);
-    world_add_group(w, "west", machines, "west", false);
-    world_run(w, 8);
-    return w;
-}
--- a/tests/world_state.c
+++ b/tests/world_state.c
@@ -221,44 +221,6 @@
     }
 }
 
-static void end_lease(struct world *w, uint64_t lease)
-{
-    GHashTableIter iter;
-    void *key, *value;
-    w->revision++;
-    g_hash_table_iter_init(&iter, w->keys);
-    while (g_hash_table_iter_next(&iter, &key, &value)) {
-        if (((struct world_value *)value)->lease != lease)
-            continue;
-        world_log_change(w, key, NULL);
-        g_hash_table_iter_remove(&iter);
-    }
-}
-
-static void expire_leases(struct world *w)
-{
-    GHashTableIter iter;
-    void *id, *until;
-    g_hash_table_iter_init(&iter, w->leases);
-    while (!w->state_down && g_hash_table_iter_next(&iter, &id, &until)) {
-        if (*(double *)until >= w->now)
-            continue;
-        uint64_t lease = *(uint64_t *)id;
-        g_hash_table_iter_remove(&iter);
-        end_lease(w, lease);
-    }
-}
-
-/* After an outage every lease has its full time again. */
-static void extend_leases(struct world *w)
-{
-    GHashTableIter iter;
-    void *id, *until;
-    g_hash_table_iter_init(&iter, w->leases);
-    while (w->state_down && g_hash_table_iter_next(&iter, &id, &until))
-        *(double *)until = w->now + w->rules.leader_lease_s;
-}
-
 static void release_held(struct world *w)
 {
     for (guint i = w->held->len; i > 0; i--) {
@@ -302,8 +264,8 @@
 
 void world_state_step(struct world *w)
 {
-    expire_leases(w);
-    extend_leases(w);
+    world_expire_leases(w);
+    world_extend_leases(w);
     release_held(w);
     answer_watches(w);
 }
--- a/tests/world_state_parts.h
+++ b/tests/world_state_parts.h
@@ -28,4 +28,9 @@
 /* The changes of keys with this prefix after the revision, as items. */
 GArray *world_changes_since(struct world *w, const char *prefix, uint64_t since);
 
+/* world_leases.c: removes the keys of leases that have run out. */
+void world_expire_leases(struct world *w);
+/* After an outage every lease has its full time again. */
+void world_extend_leases(struct world *w);
+
 #endif
