--- a/tests/loopback/cloud.py
+++ b/tests/loopback/cloud.py
@@ -28,6 +28,7 @@
         self.machines = {}
         self.rentals = {}  # request name -> answer
         self.capacity = 0
+        self.keeps_machines = False  # deletions are refused
         self.made = 0  # machines so far: no name is used again
         self.controllers = {}  # name -> endpoint
         self.http = HttpService(self.handle)
@@ -92,6 +93,8 @@
             zones = self.settings["zones"]
             return {"breeds": [{"name": name, "cache_gb": 100, "pull_gb_per_s": 1.0, "boot_s": 1, "ranges": zones,
                                 **size} for name, size in TYPES.items()]}
+        if path == "/rentals/delete" and self.keeps_machines:
+            raise Fault(503)
         if path == "/rentals/delete":
             for name in body["perches"]:
                 await self.remove(name)
--- a/tests/loopback/cluster.py
+++ b/tests/loopback/cluster.py
@@ -61,6 +61,7 @@
         self.controllers = [Controller(f"controller-{i}", f"{self.prefix}.1.{i + 1}", zones[i % len(zones)])
                             for i in range(controllers)]
         self.events = []
+        self.peer_port = PEER_PORT  # one higher: controllers reach each other without a relay
 
     def record(self, event, **members):
         self.events.append({"t": time.monotonic(), "event": event, **members})
@@ -108,7 +109,7 @@
 
     def write_settings(self, controller):
         s = self.settings
-        others = "".join(f'[[others]]\nhost_name = "{o.name}"\narea = "{o.zone}"\nendpoint = "{o.address}:{PEER_PORT}"\n'
+        others = "".join(f'[[others]]\nhost_name = "{o.name}"\narea = "{o.zone}"\nendpoint = "{o.address}:{self.peer_port}"\n'
                          for o in self.controllers if o is not controller)
         text = (f'host_name = "{controller.name}"\narea = "{controller.zone}"\n'
                 f'front = "{controller.address}:{FRONT_PORT + 1}"\npeer_listen = "{controller.address}:{PEER_PORT + 1}"\n'
--- a/tests/loopback/network.py
+++ b/tests/loopback/network.py
@@ -7,6 +7,7 @@
 class Network:
     def __init__(self):
         self.cuts = set()  # (from address, to address)
+        self.carried = {}  # (from address, to address) -> bytes
 
     def cut(self, sources, destinations):
         self.cuts |= {(source, destination) for source in sources for destination in destinations}
@@ -43,9 +44,10 @@
         try:
             while data := await reader.read(65536):
                 await self.wait_for(source, destination)
+                self.carried[(source, destination)] = self.carried.get((source, destination), 0) + len(data)
                 writer.write(data)
                 await writer.drain()
-        except (ConnectionError, OSError):
+        except (ConnectionError, OSError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
