A balanced start, handovers that stay, and honest steps of a handover

One that has not been heard yet now counts as a candidate for the first 5 s. (test_candidacy) - With a report interval below 2.7 s a successor gave a shard back: the workers of a leader that stands still wait 4 s for its answer, and the successor took their absence for a loss of its own. It now waits for that, too; deployments with longer intervals wait as before. (test_shards, seen to fail without it) - "serving" was said before any machine had reported, and the first step was dated to the start of the clock.

--- a/src/control/candidacy.c
+++ b/src/control/candidacy.c
@@ -31,7 +31,7 @@
     unsigned rank = 0;
     for (guint i = 0; i < members->len; i++) {
         const struct ow_member *member = g_ptr_array_index(members, i);
-        if (ow_member_is_live(member) &&
+        if (ow_membership_may_lead(membership, member) &&
             comes_before(member->name, member->shards->len, self, own_count, shard))
             rank++;
     }
@@ -46,7 +46,7 @@
     unsigned first_count = own_count;
     for (guint i = 0; i < members->len; i++) {
         const struct ow_member *member = g_ptr_array_index(members, i);
-        if (!ow_member_is_live(member) ||
+        if (!ow_membership_may_lead(membership, member) ||
             !comes_before(member->name, member->shards->len, first, first_count, shard))
             continue;
         first = member->name;
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -141,6 +141,7 @@
         .token = status->token,
         .key_missing = status->key_missing,
         .records_read = status->records_read,
+        .settled = status->settled,
         .machines = status->machines,
         .fenced = status->fenced,
     };
--- a/src/control/handover.c
+++ b/src/control/handover.c
@@ -47,7 +47,7 @@
     if (view->token != 0) {
         if (!view->records_read)
             return OW_HANDOVER_CONDEMNED;
-        return view->fenced == view->machines ? OW_HANDOVER_SERVING : OW_HANDOVER_RECORDS;
+        return view->settled && view->fenced == view->machines ? OW_HANDOVER_SERVING : OW_HANDOVER_RECORDS;
     }
     if (view->leader_name != NULL) {
         bool suspected = view->leader != NULL && view->leader->state == OW_MEMBER_SUSPECTED;
@@ -61,6 +61,7 @@
                       const struct ow_handover_view *view)
 {
     const char *from = handover->leader != NULL ? handover->leader : "nobody";
+    bool was_led = handover->leader != NULL;
     switch (phase) {
     case OW_HANDOVER_UNKNOWN:
         return g_strdup("the leader's key is being read");
@@ -69,7 +70,8 @@
     case OW_HANDOVER_SUSPECTED:
         return g_strdup_printf("%s: %s", view->leader_name, view->leader->cause);
     case OW_HANDOVER_LEASE_GONE:
-        return g_strdup_printf("the state service has removed the key of %s", from);
+        return was_led ? g_strdup_printf("the state service has removed the key of %s", from)
+                       : g_strdup("nobody has led it yet, as far as this controller knows");
     case OW_HANDOVER_CONDEMNED:
         return g_strdup_printf("token %" G_GUINT64_FORMAT " committed, led by %s before", view->token, from);
     case OW_HANDOVER_RECORDS:
@@ -104,6 +106,9 @@
     const char *leader = view->token != 0 ? view->self : view->leader_name;
     bool new_leader = leader != NULL && g_strcmp0(leader, handover->leader) != 0;
     bool new_term = view->token != 0 && view->token != handover->token;
+    struct ow_handover_step *first = &g_array_index(handover->steps, struct ow_handover_step, 0);
+    if (first->at <= 0)
+        first->at = now; /* the clock was not known when the shard was made */
     if ((phase != ow_handover_last(handover)->phase || new_leader || new_term) &&
         !is_settled(handover, view, phase)) {
         char *cause = cause_of(handover, phase, view);
--- a/src/control/membership.c
+++ b/src/control/membership.c
@@ -6,6 +6,9 @@
 static const double PAUSE_HEARTBEATS = 2;
 /* A controller out of reach or suspected is probed again after so many time-outs of a probe. */
 static const double PROBE_AGAIN_TIMEOUTS = 3;
+/* So long after the start controllers that have not been heard yet may be starting as well: whoever is first
+   must not take every shard. */
+static const double STARTING_S = 5;
 /* Dropped messages are logged at most this often. */
 static const double DROP_LOG_S = 10;
 
@@ -79,6 +82,12 @@
            member->state == OW_MEMBER_RELAYED;
 }
 
+bool ow_membership_may_lead(const struct ow_membership *membership, const struct ow_member *member)
+{
+    bool starting = membership->started_at > 0 && membership->ticked_at - membership->started_at < STARTING_S;
+    return ow_member_is_live(member) || (starting && member->state == OW_MEMBER_UNHEARD);
+}
+
 const char *ow_member_state_name(enum ow_member_state state)
 {
     static const char *const names[] = {"unheard", "alive", "probed", "relayed", "suspected"};
@@ -127,6 +136,8 @@
 {
     double pause_s = membership->ticked_at > 0 ? now - membership->ticked_at : 0;
     membership->ticked_at = now;
+    if (membership->started_at <= 0)
+        membership->started_at = now;
     if (pause_s <= PAUSE_HEARTBEATS * membership->control->heartbeat_s)
         return;
     for (guint i = 0; i < membership->members->len; i++) {
--- a/src/control/membership.h
+++ b/src/control/membership.h
@@ -53,7 +53,10 @@
 const GPtrArray *ow_membership_members(const struct ow_membership *membership);
 /* The controller of this name, or NULL. */
 const struct ow_member *ow_membership_find(const struct ow_membership *membership, const char *name);
-/* Whether it counts as able to lead: heard by us or by another controller. */
+/* Whether it counts as able to lead: heard by us or by another controller, or not heard yet while we have
+   only just started ourselves. */
+bool ow_membership_may_lead(const struct ow_membership *membership, const struct ow_member *member);
+/* Whether it is heard by us or by another controller. */
 bool ow_member_is_live(const struct ow_member *member);
 /* The state as a word for operators and the log. */
 const char *ow_member_state_name(enum ow_member_state state);
--- a/src/control/membership_state.h
+++ b/src/control/membership_state.h
@@ -9,6 +9,7 @@
     const char *self;
     uint64_t incarnation, digest, sequence, last_probe;
     GPtrArray *members; /* struct ow_member, owned */
+    double started_at;  /* of the first tick */
     double heartbeat_at, ticked_at, drop_logged_at;
     unsigned dropped;
 };
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -20,6 +20,8 @@
 
 /* How long the core may rest when nothing comes in. */
 static const double IDLE_S = 0.05;
+/* Workers report every interval, give or take a quarter. */
+static const double SETTLING_REPORTS = 1.25;
 /* One queue for each kind of event, worked off in the order of the kinds. */
 enum { QUEUES = OW_EVENT_SUBMIT + 1 };
 
@@ -223,7 +225,9 @@
     };
     if (leader == NULL)
         return;
-    status->records_read = status->ready = leader->phase == OW_LEADER_READY;
+    status->records_read = leader->phase == OW_LEADER_READY;
+    status->settled = status->records_read &&
+                      controller->now - leader->ready_at >= SETTLING_REPORTS * controller->settings->report_s;
     count_fenced(leader, status);
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -25,7 +25,8 @@
     const char *leader_name; /* NULL: nobody, or unknown */
     uint64_t token;          /* of this controller's term; 0: it does not lead */
     bool key_missing;        /* the state service has shown that nobody holds the leader's key */
-    bool records_read, ready;
+    bool records_read;
+    bool settled;      /* the leader has been ready for so long that every live worker has reported to it */
     unsigned machines; /* that the leader knows and that have reported, ever */
     unsigned fenced;   /* those of them that have shown its token */
 };
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -189,8 +189,11 @@
         last_message_at = MAX(last_message_at, machine->last_message_at);
         expected += machine->listed == OW_LISTED_RUNNING && !machine->deleting ? 1 : 0;
     }
+    /* Workers of a leader that stands still wait for its answer before they turn to its successor. */
+    double report_s = leader->controller->settings->report_s;
+    double patience_s = MAX(LOST_REPORTS * report_s, REPORT_TIMEOUT_S + report_s);
     return expected >= LOST_LEAST && now - leader->controller->peer_receives_reports_at < LOST_MESSAGE_S &&
-           now - last_message_at > LOST_REPORTS * leader->controller->settings->report_s;
+           now - last_message_at > patience_s;
 }
 
 /* Whether an attempt of a cancelled job is where it can only end: running, on a machine that accepts commands
--- a/tests/test_candidacy.c
+++ b/tests/test_candidacy.c
@@ -91,11 +91,39 @@
         assert_true(was_first[i]);
 }
 
+/* Controllers start one after the other: the first must not take every shard before the others are heard. */
+static void test_who_starts_first_leaves_shards_to_the_others(void **state)
+{
+    (void)state;
+    struct bench bench;
+    GArray *nothing = ow_peer_shards_new();
+    GPtrArray *sent = g_ptr_array_new();
+    open_bench(&bench, 0);
+    ow_membership_tick(bench.membership, 100, nothing, sent);
+    unsigned later = 0;
+    for (int shard = 0; shard < 40; shard++) {
+        char name[16];
+        g_snprintf(name, sizeof name, "shard-%d", shard);
+        later += ow_candidacy_rank(bench.membership, "self", 0, name) > 0 ? 1 : 0;
+    }
+    assert_true(later > 20);
+    /* Those that stay silent are no candidates for long. */
+    for (double now = 100; now < 107; now += 0.5)
+        ow_membership_tick(bench.membership, now, nothing, sent);
+    assert_int_equal(ow_candidacy_rank(bench.membership, "self", 9, "shard-0"), 0);
+    for (guint i = 0; i < sent->len; i++)
+        ow_peer_message_free(g_ptr_array_index(sent, i));
+    g_ptr_array_free(sent, TRUE);
+    g_array_free(nothing, TRUE);
+    close_bench(&bench);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_who_leads_least_runs_first),
         cmocka_unit_test(test_equals_are_ordered_by_shard),
+        cmocka_unit_test(test_who_starts_first_leaves_shards_to_the_others),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_shards.c
+++ b/tests/test_shards.c
@@ -161,6 +161,33 @@
     world_finish(w);
 }
 
+/* Workers of a leader that stands still turn to its successor only when they have waited for its answer. With
+   short report intervals the successor took that for a loss of its own and gave the shard back: seen on a
+   loopback cluster. */
+static void test_successor_waits_for_workers_of_a_frozen_leader(void **state)
+{
+    (void)state;
+    struct world *w = world_new();
+    for (int i = 0; i < WORLD_CONTROLLERS; i++)
+        w->settings[i].report_s = 1;
+    w->rules.leader_lease_s = 2;
+    world_divide(w);
+    world_start_controllers(w);
+    world_add_group(w, "east", 3, "east", false);
+    world_add_group(w, "west", 3, "west", false);
+    world_run(w, 10);
+    int old = world_shard_leader(w, EAST);
+    uint64_t token = shard_token(w, EAST);
+    world_freeze(w, old);
+    assert_true(world_until(w, 4, handed_over, &token));
+    token = shard_token(w, EAST);
+    world_run(w, 2.9); /* the workers still wait for the one that stands still */
+    world_thaw(w, old);
+    world_run(w, 20);
+    assert_int_equal(shard_token(w, EAST), token);
+    world_finish(w);
+}
+
 static unsigned withheld(const struct world *w, int controller, guint shard)
 {
     return shard_view(w, controller, shard)->withheld;
@@ -203,6 +230,7 @@
         cmocka_unit_test(test_default_shard_keeps_keys_and_leader),
         cmocka_unit_test(test_outage_condemns_nobody),
         cmocka_unit_test(test_frozen_leader_never_shares_its_machines),
+        cmocka_unit_test(test_successor_waits_for_workers_of_a_frozen_leader),
         cmocka_unit_test(test_nothing_leaves_after_a_pause_before_the_lease_is_proven),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
