One maker of events, one reader of task names, and no time that nobody reads

Read once more: an event of a kind for a request was made in four places (io, two of control, the simulated cluster) and is now made by ow_event_new(); "<job>/<task>" was parsed by both sides of the workers' protocol and is now parsed by wire_task_name_parse(); ow_shard_push() took a time that it did not use. Nothing else changes; the tests are the same.

--- a/src/control/control_dispatch.c
+++ b/src/control/control_dispatch.c
@@ -33,7 +33,7 @@
 {
     int index = ow_shard_map_machine(control->control_settings, event->report->zone, event->report->type);
     if (index >= 0) {
-        ow_shard_push(ow_control_shard(control, (guint)index), event, control->now);
+        ow_shard_push(ow_control_shard(control, (guint)index), event);
         return;
     }
     refuse_report(event->request, out);
@@ -46,7 +46,7 @@
     uint64_t index = event->request >> OW_SHARD_TAG_BITS;
     if (index < control->shards->len) {
         event->request &= ((uint64_t)1 << OW_SHARD_TAG_BITS) - 1;
-        ow_shard_push(ow_control_shard(control, (guint)index), event, control->now);
+        ow_shard_push(ow_control_shard(control, (guint)index), event);
         return;
     }
     if (index == OW_OWN_INDEX)
@@ -76,7 +76,7 @@
         ow_control_send_messages(messages, out);
         /* A lost link is no evidence: in a divided fleet nobody is replaced before its lease has ended. */
     } else if (message->kind != OW_PEER_LINK_LOST && shard != NULL) {
-        ow_shard_push(shard, event, control->now);
+        ow_shard_push(shard, event);
         return;
     }
     ow_event_free(event);
--- a/src/control/effect_guard.c
+++ b/src/control/effect_guard.c
@@ -2,14 +2,6 @@
 
 enum { STATUS_UNAVAILABLE = 503, RETRY_S = 1 };
 
-static struct ow_event *new_refusal(enum ow_event_kind kind, uint64_t request)
-{
-    struct ow_event *event = g_new0(struct ow_event, 1);
-    event->kind = kind;
-    event->request = request;
-    return event;
-}
-
 static bool remove_launches(GArray *commands)
 {
     guint before = commands->len;
@@ -34,7 +26,7 @@
     if (effect->cloud->op == OW_CLOUD_TYPES || effect->cloud->op == OW_CLOUD_LIST)
         return false;
     /* The core takes a 503 for a request that was not carried out, and repeats it. */
-    *refusal = new_refusal(OW_EVENT_CLOUD, effect->cloud->tag);
+    *refusal = ow_event_new(OW_EVENT_CLOUD, effect->cloud->tag);
     (*refusal)->cloud.status = STATUS_UNAVAILABLE;
     return true;
 }
@@ -43,7 +35,7 @@
 {
     if (verdict == OW_LEASE_KEEP_ALIVE)
         return remove_launches(effect->commands);
-    *refusal = new_refusal(OW_EVENT_DIRECT_REPLY, effect->request);
+    *refusal = ow_event_new(OW_EVENT_DIRECT_REPLY, effect->request);
     (*refusal)->status = OW_STATUS_UNSENT;
     return true;
 }
--- a/src/control/request_router.c
+++ b/src/control/request_router.c
@@ -68,9 +68,7 @@
 
 static struct ow_event *new_event(enum ow_event_kind kind, uint64_t request, const char *id)
 {
-    struct ow_event *event = g_new0(struct ow_event, 1);
-    event->kind = kind;
-    event->request = request;
+    struct ow_event *event = ow_event_new(kind, request);
     g_strlcpy(event->id, id, sizeof event->id);
     return event;
 }
@@ -88,17 +86,16 @@
     g_hash_table_insert(router->questions, new_key(number), question);
     enum ow_event_kind kind = purpose == OW_QUESTION_TEAMS ? OW_EVENT_TEAMS : OW_EVENT_POLL;
     for (guint i = 0; i < router->shards->len; i++)
-        ow_shard_push(shard_at(router, i), new_event(kind, number, id), now);
+        ow_shard_push(shard_at(router, i), new_event(kind, number, id));
     return question;
 }
 
 /* All have answered. */
-static void conclude(struct ow_request_router *router, struct ow_shard_question *question, double now,
-                     GPtrArray *out)
+static void conclude(struct ow_request_router *router, struct ow_shard_question *question, GPtrArray *out)
 {
     struct ow_shard *owner = question->purpose == OW_QUESTION_CANCEL ? find_job(router, question->id) : NULL;
     if (owner != NULL) {
-        ow_shard_push(owner, new_event(OW_EVENT_CANCEL, question->request, question->id), now);
+        ow_shard_push(owner, new_event(OW_EVENT_CANCEL, question->request, question->id));
         return;
     }
     g_ptr_array_add(out, ow_shard_question_result(question));
@@ -147,7 +144,7 @@
         g_hash_table_insert(router->submissions, new_key(event->request), waiting);
         shard = event->submission != NULL ? choose_shard(router, event->submission) : shard_at(router, 0);
     }
-    ow_shard_push(shard, event, now);
+    ow_shard_push(shard, event);
 }
 
 void ow_request_router_push(struct ow_request_router *router, struct ow_event *event, double now)
@@ -158,7 +155,7 @@
     }
     struct ow_shard *owner = event->kind == OW_EVENT_TEAMS ? NULL : find_job(router, event->id);
     if (owner != NULL) {
-        ow_shard_push(owner, event, now);
+        ow_shard_push(owner, event);
         return;
     }
     enum ow_question_purpose purpose = OW_QUESTION_POLL;
@@ -228,7 +225,7 @@
     ow_shard_question_take(question, effect);
     if (--question->missing > 0)
         return false;
-    conclude(router, question, now, out);
+    conclude(router, question, out);
     g_hash_table_remove(router->questions, &number);
     return false;
 }
--- a/src/control/shard.c
+++ b/src/control/shard.c
@@ -72,9 +72,8 @@
     }
 }
 
-void ow_shard_push(struct ow_shard *shard, struct ow_event *event, double now)
+void ow_shard_push(struct ow_shard *shard, struct ow_event *event)
 {
-    (void)now;
     switch (event->kind) {
     case OW_EVENT_STORE:
         ow_lease_guard_answered(&shard->guard, event->request, event->store.status);
--- a/src/control/shard.h
+++ b/src/control/shard.h
@@ -29,7 +29,7 @@
                               uint64_t nonce, const GPtrArray *prefixes, double now);
 void ow_shard_free(struct ow_shard *shard);
 /* Hands the core an event, which is taken over: an answer to one of its requests is translated first. */
-void ow_shard_push(struct ow_shard *shard, struct ow_event *event, double now);
+void ow_shard_push(struct ow_shard *shard, struct ow_event *event);
 /* Runs the core and appends its effects, translated, to `out`. */
 void ow_shard_run(struct ow_shard *shard, double now, double time_of_day, GPtrArray *out);
 /* The process goes on after a pause that may have outlived the shard's lease. */
--- a/src/core/effects.c
+++ b/src/core/effects.c
@@ -110,6 +110,14 @@
     g_free(effect);
 }
 
+struct ow_event *ow_event_new(enum ow_event_kind kind, uint64_t request)
+{
+    struct ow_event *event = g_new0(struct ow_event, 1);
+    event->kind = kind;
+    event->request = request;
+    return event;
+}
+
 void ow_event_free(void *item)
 {
     struct ow_event *event = item;
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -163,6 +163,8 @@
     struct ow_peer_message *peer;
 };
 
+/* An event of this kind; `request` names whom to answer, or the request that is answered. */
+struct ow_event *ow_event_new(enum ow_event_kind kind, uint64_t request);
 void ow_event_free(void *item);
 
 #endif
--- a/src/io/incoming.c
+++ b/src/io/incoming.c
@@ -33,7 +33,7 @@
         return;
     }
     /* With the id of a job that was accepted it is a repeat, whatever else it says. */
-    struct ow_event *event = ow_service_event_new(OW_EVENT_SUBMIT, request->id);
+    struct ow_event *event = ow_event_new(OW_EVENT_SUBMIT, request->id);
     event->submission = submission;
     event->fault = fault;
     g_strlcpy(event->id, id, sizeof event->id);
@@ -47,7 +47,7 @@
         answer_error(service, request->id, OW_HTTP_STATUS_BAD_REQUEST, "not a report");
         return;
     }
-    struct ow_event *event = ow_service_event_new(OW_EVENT_REPORT, request->id);
+    struct ow_event *event = ow_event_new(OW_EVENT_REPORT, request->id);
     event->report = report;
     ow_control_push(service->control, event);
 }
@@ -66,7 +66,7 @@
         answer_error(service, request->id, cancel ? OW_HTTP_STATUS_BAD_REQUEST : OW_HTTP_STATUS_NOT_FOUND,
                      "not the id of a job");
     } else {
-        struct ow_event *event = ow_service_event_new(cancel ? OW_EVENT_CANCEL : OW_EVENT_POLL, request->id);
+        struct ow_event *event = ow_event_new(cancel ? OW_EVENT_CANCEL : OW_EVENT_POLL, request->id);
         g_strlcpy(event->id, id, sizeof event->id);
         ow_control_push(service->control, event);
     }
@@ -111,7 +111,7 @@
                    NULL, g_strdup("{}"));
     } else if (strcmp(path, W_PATH_TEAMS) == 0) {
         if (method_is(service, request, "GET"))
-            ow_control_push(service->control, ow_service_event_new(OW_EVENT_TEAMS, request->id));
+            ow_control_push(service->control, ow_event_new(OW_EVENT_TEAMS, request->id));
     } else if (strcmp(path, W_PATH_CONTROLLERS) == 0 || strcmp(path, W_PATH_SHARDS) == 0) {
         if (method_is(service, request, "GET"))
             answer_operators(service, request, strcmp(path, W_PATH_SHARDS) == 0);
--- a/src/io/outgoing.c
+++ b/src/io/outgoing.c
@@ -44,7 +44,7 @@
 static struct ow_event *cloud_event(const struct pending_request *pending, int status, const char *body,
                                     size_t size)
 {
-    struct ow_event *event = ow_service_event_new(OW_EVENT_CLOUD, pending->core_tag);
+    struct ow_event *event = ow_event_new(OW_EVENT_CLOUD, pending->core_tag);
     event->cloud.status = status;
     if (status != OW_HTTP_STATUS_OK)
         return event;
@@ -60,7 +60,7 @@
 static struct ow_event *state_event(const struct pending_request *pending, int status, const char *body,
                                     size_t size)
 {
-    struct ow_event *event = ow_service_event_new(OW_EVENT_STORE, pending->core_tag);
+    struct ow_event *event = ow_event_new(OW_EVENT_STORE, pending->core_tag);
     wire_store_reply((enum ow_store_op)pending->operation, status, body, size, &event->store);
     return event;
 }
@@ -68,7 +68,7 @@
 static struct ow_event *worker_event(const struct pending_request *pending, int status, const char *body,
                                      size_t size)
 {
-    struct ow_event *event = ow_service_event_new(OW_EVENT_DIRECT_REPLY, pending->core_tag);
+    struct ow_event *event = ow_event_new(OW_EVENT_DIRECT_REPLY, pending->core_tag);
     event->status = status;
     if (status == OW_HTTP_STATUS_OK || status == OW_HTTP_STATUS_CONFLICT)
         event->report = wire_report_parse(body, size);
@@ -140,7 +140,7 @@
 /* Without a socket to spare the command goes with the answer to the machine's next report. */
 static void give_up_direct(struct ow_service *service, const struct ow_effect *effect)
 {
-    struct ow_event *event = ow_service_event_new(OW_EVENT_DIRECT_REPLY, effect->request);
+    struct ow_event *event = ow_event_new(OW_EVENT_DIRECT_REPLY, effect->request);
     event->status = OW_STATUS_UNSENT;
     ow_control_push(service->control, event);
 }
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -16,20 +16,12 @@
    left, and at least this share. */
 static const double CLIENT_SHARE_LEAST = 0.05;
 
-struct ow_event *ow_service_event_new(enum ow_event_kind kind, uint64_t request)
-{
-    struct ow_event *event = g_new0(struct ow_event, 1);
-    event->kind = kind;
-    event->request = request;
-    return event;
-}
-
 /* ---- links to other controllers ---- */
 
 static void take_peer(void *owner, struct ow_peer_message *message)
 {
     struct ow_service *service = owner;
-    struct ow_event *event = ow_service_event_new(OW_EVENT_PEER, 0);
+    struct ow_event *event = ow_event_new(OW_EVENT_PEER, 0);
     event->peer = message;
     ow_control_push(service->control, event);
 }
--- a/src/io/service_state.h
+++ b/src/io/service_state.h
@@ -24,9 +24,6 @@
     double sweep_at;               /* when idle connections are looked at next */
 };
 
-/* service.c: an event for the core. `request` names whom to answer, or the request that is answered. */
-struct ow_event *ow_service_event_new(enum ow_event_kind kind, uint64_t request);
-
 /* incoming.c: requests of users and workers. */
 
 /* The HTTP server's handler: turns a request into an event, or answers it. `owner` is the service. */
--- a/src/wire/agent_json.c
+++ b/src/wire/agent_json.c
@@ -3,6 +3,7 @@
 #include "wire/json.h"
 #include "wire/user_json.h"
 #include "wire/words.h"
+#include "wire/worker_json.h"
 
 #include <string.h>
 
@@ -35,21 +36,6 @@
                                   notice, W_TASKS, tasks));
 }
 
-/* "<job>/<task>". */
-static bool parse_task_name(const char *name, struct ow_worker_command *command)
-{
-    const char *slash = strrchr(name, '/');
-    guint64 task = 0;
-    if (slash == NULL || slash - name > OW_ID_MAX)
-        return false;
-    memcpy(command->job, name, (size_t)(slash - name));
-    command->job[slash - name] = '\0';
-    bool ok = wire_job_id_valid(command->job) &&
-              g_ascii_string_to_unsigned(slash + 1, 10, 0, OW_MAX_TASKS, &task, NULL);
-    command->task = (uint32_t)task;
-    return ok;
-}
-
 static bool parse_command(const json_t *object, struct ow_worker_command *command)
 {
     const char *kind = NULL, *name = NULL;
@@ -62,7 +48,7 @@
         return false;
     command->kind = (enum ow_worker_command_kind)index;
     wj_number(object, W_GRACE, &command->grace_s);
-    return parse_task_name(name, command);
+    return wire_task_name_parse(name, command->job, &command->task);
 }
 
 static bool parse_commands(const json_t *list, GArray *commands)
--- a/src/wire/worker_json.c
+++ b/src/wire/worker_json.c
@@ -6,18 +6,17 @@
 
 #include <string.h>
 
-static bool parse_task_name(const char *text, struct ow_task_report *out)
+bool wire_task_name_parse(const char *text, char *job, uint32_t *task)
 {
     const char *slash = strrchr(text, '/');
     if (slash == NULL || slash - text > OW_ID_MAX)
         return false;
-    memcpy(out->job, text, (size_t)(slash - text));
-    out->job[slash - text] = '\0';
-    guint64 task = 0;
-    if (!wire_job_id_valid(out->job) ||
-        !g_ascii_string_to_unsigned(slash + 1, 10, 0, OW_MAX_TASKS, &task, NULL))
+    memcpy(job, text, (size_t)(slash - text));
+    job[slash - text] = '\0';
+    guint64 number = 0;
+    if (!wire_job_id_valid(job) || !g_ascii_string_to_unsigned(slash + 1, 10, 0, OW_MAX_TASKS, &number, NULL))
         return false;
-    out->task = (uint32_t)task;
+    *task = (uint32_t)number;
     return true;
 }
 
@@ -25,7 +24,7 @@
 {
     const char *name = NULL, *phase = NULL, *cause = "";
     memset(out, 0, sizeof *out);
-    if (!wj_string(object, W_TASK, &name) || !parse_task_name(name, out) ||
+    if (!wj_string(object, W_TASK, &name) || !wire_task_name_parse(name, out->job, &out->task) ||
         !wj_count(object, W_ATTEMPT, &out->attempt) || !wj_string(object, W_STATE, &phase))
         return false;
     int p = w_index(w_phases, phase);
--- a/src/wire/worker_json.h
+++ b/src/wire/worker_json.h
@@ -6,6 +6,8 @@
 
 #include <stddef.h>
 
+/* Reads "<job>/<task>"; `job` holds OW_ID_MAX + 1 bytes. */
+bool wire_task_name_parse(const char *text, char *job, uint32_t *task);
 /* A worker's report, which the caller owns; NULL when malformed. */
 struct ow_report *wire_report_parse(const char *text, size_t size);
 /* The answer to a report (g_free): struct ow_worker_command each. */
--- a/tests/world.c
+++ b/tests/world.c
@@ -113,10 +113,7 @@
 
 struct ow_event *world_command(enum ow_event_kind kind, uint64_t request)
 {
-    struct ow_event *event = g_new0(struct ow_event, 1);
-    event->kind = kind;
-    event->request = request;
-    return event;
+    return ow_event_new(kind, request);
 }
 
 static void send_peers(struct world *w, int from, struct ow_peer_message *message)
