Log: periodic lines on leadership, answers to users, reads and load

Nothing in the log told why a question about a job got no answer: whether the job table was unread, the store refused, a cancellation was not acknowledged and by which attempt it was held up, or whether the process could not keep up.

Change: every 10 s a controller logs, where there is something to tell, its leader and fencing token, how user requests were answered and with which 503, open cancellations and the attempt that the oldest one waits for, the reads of the job table, the store's replies, the leader's phase and queues, and the load of the event loop. The lines don't grow with the number of requests. The load of the job table and its restart are logged with pages, failures and duration. Results of reads are an enum in place of a boolean, and callers that wait for a read and the counts of reads are modules of their own. Answers and decisions are as before.

--- a/src/core/api/cancel.c
+++ b/src/core/api/cancel.c
@@ -24,10 +24,10 @@
    a read and another write, until one is committed or the job is over. */
 static void cancel_known(struct ow_core *core, uint64_t request, const struct ow_job *job);
 
-static void on_cancel_refreshed(struct ow_core *core, void *data, bool is_fresh)
+static void on_cancel_refreshed(struct ow_core *core, void *data, enum ow_refresh_result result)
 {
     const struct ow_pending_request *pending = data;
-    const struct ow_job *job = ow_job_answer_find(core, pending, is_fresh);
+    const struct ow_job *job = ow_job_answer_find(core, pending, result);
     if (job != NULL)
         cancel_known(core, pending->request, job);
 }
@@ -58,7 +58,7 @@
         /* A new leader may have read the records without this cancellation, and may start tasks of the job.
          */
         ow_election_invalidate_key(core->election);
-        ow_job_reply_retry(core, pending->request, "the leader has just changed");
+        ow_job_reply_retry(core, pending->request, OW_ANSWER_RETRY_LEADER, "the leader has just changed");
         return;
     }
     /* The job's record has changed since it was read: it must be read again to know whether the job is over.
@@ -71,7 +71,8 @@
 static void handle_too_large(struct ow_core *core, const struct cancel_call *call)
 {
     ow_store_limits_shrink(&core->store_limits, 1, call->record_bytes);
-    ow_job_reply_retry(core, call->pending.request, "the state service takes no record of this size");
+    ow_job_reply_retry(core, call->pending.request, OW_ANSWER_RETRY_SIZE,
+                       "the state service takes no record of this size");
 }
 
 static void on_cancel_reply(void *owner, void *data, const struct ow_event *answer)
@@ -140,7 +141,7 @@
     if (ow_job_is_over(job))
         ow_job_answer(core, request, OW_HTTP_STATUS_OK, job);
     else if (leader_fencing_token == 0)
-        ow_job_reply_retry(core, request, "there is no leader yet");
+        ow_job_reply_retry(core, request, OW_ANSWER_RETRY_LEADER, "there is no leader yet");
     else
         write_cancellation(core, request, job, leader_fencing_token);
 }
--- a/src/core/api/cancellation_ack.c
+++ b/src/core/api/cancellation_ack.c
@@ -184,7 +184,8 @@
         const struct waiting_request *waiting = waiting_at(cancellation, i - 1);
         if (core->now < waiting->times_out_at)
             continue;
-        ow_job_reply_retry(core, waiting->request, "the leader has not acknowledged the cancellation yet");
+        ow_job_reply_retry(core, waiting->request, OW_ANSWER_RETRY_ACKNOWLEDGEMENT,
+                           "the leader has not acknowledged the cancellation yet");
         g_array_remove_index(cancellation->waiting_requests, i - 1);
     }
 }
@@ -223,3 +224,26 @@
         if (advance(acks->core, cancellation))
             g_hash_table_iter_remove(&iter);
 }
+
+void ow_cancellation_ack_log_metrics(const struct ow_cancellation_ack *acks)
+{
+    const struct ow_core *core = acks->core;
+    const struct open_cancellation *oldest = NULL;
+    GHashTableIter iter;
+    void *item;
+    unsigned waiting_requests = 0;
+    g_hash_table_iter_init(&iter, acks->open);
+    while (g_hash_table_iter_next(&iter, NULL, &item)) {
+        const struct open_cancellation *cancellation = item;
+        waiting_requests += cancellation->waiting_requests->len;
+        if (oldest == NULL || cancellation->added_at < oldest->added_at)
+            oldest = cancellation;
+    }
+    if (oldest == NULL)
+        return;
+    double wait_s = core->now - oldest->added_at;
+    g_info("cancellations not acknowledged: count=%u waiting_requests=%u oldest_job=%s oldest_wait_s=%.1f",
+           g_hash_table_size(acks->open), waiting_requests, oldest->id, wait_s);
+    if (core->leader != NULL)
+        ow_job_cancellation_log_blocker(core->leader, ow_jobs_find(core->jobs, oldest->id), wait_s);
+}
--- a/src/core/api/cancellation_ack.h
+++ b/src/core/api/cancellation_ack.h
@@ -33,6 +33,9 @@
                                              const struct ow_peer_message *message);
 /** Handles OW_PEER_CANCELLATION_ACK: a leader has acknowledged a cancellation. */
 void ow_cancellation_ack_handle_ack(struct ow_cancellation_ack *acks, const struct ow_peer_message *message);
+/** Logs one line about the open cancellations, and on a leader what the oldest of them waits for; nothing if
+ * there are none. */
+void ow_cancellation_ack_log_metrics(const struct ow_cancellation_ack *acks);
 /** Acknowledges cancellations if this controller leads, answers users, and sends open cancellations to the
  * leader again when due. */
 void ow_cancellation_ack_tick(struct ow_cancellation_ack *acks);
--- a/src/core/api/job_answer.c
+++ b/src/core/api/job_answer.c
@@ -7,6 +7,9 @@
 #include "model/http_status.h"
 #include "model/submission.h"
 
+/* A reason that users see. */
+static const char STORE_UNAVAILABLE[] = "the state service does not answer";
+
 void ow_pending_request_init(struct ow_pending_request *pending, uint64_t request, const char *id)
 {
     pending->request = request;
@@ -22,7 +25,15 @@
 
 void ow_job_answer_store_unavailable(struct ow_core *core, uint64_t request)
 {
-    ow_job_reply_retry(core, request, "the state service does not answer");
+    ow_job_reply_retry(core, request, OW_ANSWER_RETRY_STORE, STORE_UNAVAILABLE);
+}
+
+/* Answers a request whose read has failed. */
+static void answer_unread(struct ow_core *core, uint64_t request, enum ow_refresh_result result)
+{
+    enum ow_answer_kind kind =
+        result == OW_REFRESH_NOT_LOADED ? OW_ANSWER_RETRY_STARTING : OW_ANSWER_RETRY_STORE;
+    ow_job_reply_retry(core, request, kind, STORE_UNAVAILABLE);
 }
 
 void ow_job_answer(struct ow_core *core, uint64_t request, int status, const struct ow_job *job)
@@ -43,22 +54,22 @@
 }
 
 const struct ow_job *ow_job_answer_find(struct ow_core *core, const struct ow_pending_request *pending,
-                                        bool is_fresh)
+                                        enum ow_refresh_result result)
 {
-    if (!is_fresh) {
-        ow_job_answer_store_unavailable(core, pending->request);
+    if (result != OW_REFRESH_DONE) {
+        answer_unread(core, pending->request, result);
         return NULL;
     }
     const struct ow_job *job = ow_jobs_find(core->jobs, pending->id);
     if (job == NULL)
-        ow_core_reject_request(core, pending->request, OW_HTTP_STATUS_NOT_FOUND, "no such job", 0);
+        ow_job_reply_reject(core, pending->request, OW_HTTP_STATUS_NOT_FOUND, "no such job");
     return job;
 }
 
-void ow_job_answer_on_refreshed(struct ow_core *core, void *data, bool is_fresh)
+void ow_job_answer_on_refreshed(struct ow_core *core, void *data, enum ow_refresh_result result)
 {
     const struct ow_pending_request *pending = data;
-    const struct ow_job *job = ow_job_answer_find(core, pending, is_fresh);
+    const struct ow_job *job = ow_job_answer_find(core, pending, result);
     if (job != NULL)
         ow_job_answer(core, pending->request, OW_HTTP_STATUS_OK, job);
 }
--- a/src/core/api/job_answer.h
+++ b/src/core/api/job_answer.h
@@ -10,6 +10,7 @@
 #ifndef OW_CORE_API_JOB_ANSWER_H
 #define OW_CORE_API_JOB_ANSWER_H
 
+#include "core/jobs/refresh_waiters.h"
 #include "model/submission.h"
 
 #include <stdbool.h>
@@ -39,13 +40,13 @@
  * none. */
 void ow_job_answer_after_read(struct ow_core *core, uint64_t request, const char *id);
 
-/** The job of a pending request, after the read that it waited for; `is_fresh` tells whether that read
- * succeeded. If it failed, or there is no such job, the request is answered, and the result is NULL. The job
+/** The job of a pending request, after the read that it waited for; `result` is that of the read.
+ * If it failed, or there is no such job, the request is answered, and the result is NULL. The job
  * is owned by the job table. */
 const struct ow_job *ow_job_answer_find(struct ow_core *core, const struct ow_pending_request *pending,
-                                        bool is_fresh);
+                                        enum ow_refresh_result result);
 /** Answers a pending request after the read for it: an ow_refreshed_fn for ow_job_cache_refresh(). `data` is
  * a struct ow_pending_request, which the caller keeps. */
-void ow_job_answer_on_refreshed(struct ow_core *core, void *data, bool is_fresh);
+void ow_job_answer_on_refreshed(struct ow_core *core, void *data, enum ow_refresh_result result);
 
 #endif
--- a/src/core/api/job_reply.c
+++ b/src/core/api/job_reply.c
@@ -18,10 +18,18 @@
     effect->done = is_over ? OW_TASK_COUNT_UNKNOWN : job->done;
     effect->running = is_over ? OW_TASK_COUNT_UNKNOWN : job->running;
     effect->reason = g_strdup(job->reason);
+    ow_request_metrics_note_answer(&core->request_metrics, OW_ANSWER_STATE);
     ow_core_emit(core, effect);
 }
 
-void ow_job_reply_retry(struct ow_core *core, uint64_t request, const char *text)
+void ow_job_reply_retry(struct ow_core *core, uint64_t request, enum ow_answer_kind kind, const char *text)
 {
+    ow_request_metrics_note_answer(&core->request_metrics, kind);
     ow_core_reject_request(core, request, OW_HTTP_STATUS_UNAVAILABLE, text, RETRY_AFTER_S);
 }
+
+void ow_job_reply_reject(struct ow_core *core, uint64_t request, int status, const char *text)
+{
+    ow_request_metrics_note_answer(&core->request_metrics, OW_ANSWER_REJECTED);
+    ow_core_reject_request(core, request, status, text, 0);
+}
--- a/src/core/api/submit.c
+++ b/src/core/api/submit.c
@@ -28,14 +28,14 @@
     const char *reason; /* static or interned */
 };
 
-static void refuse_if_new(struct ow_core *core, void *data, bool is_fresh)
+static void refuse_if_new(struct ow_core *core, void *data, enum ow_refresh_result result)
 {
     struct refusal *refusal = data;
     const struct ow_pending_request *pending = &refusal->pending;
-    if (is_fresh && ow_jobs_find(core->jobs, pending->id) == NULL)
-        ow_core_reject_request(core, pending->request, refusal->status, refusal->reason, 0);
+    if (result == OW_REFRESH_DONE && ow_jobs_find(core->jobs, pending->id) == NULL)
+        ow_job_reply_reject(core, pending->request, refusal->status, refusal->reason);
     else
-        ow_job_answer_on_refreshed(core, &refusal->pending, is_fresh);
+        ow_job_answer_on_refreshed(core, &refusal->pending, result);
 }
 
 /* Refuses a submission unless a read shows that its id is known: another controller may have accepted the job
@@ -166,7 +166,7 @@
         return true;
     }
     if (!ow_job_cache_is_loaded(core->job_cache) || !ow_machine_types_are_known(core->machine_types)) {
-        ow_job_reply_retry(core, request, "still starting");
+        ow_job_reply_retry(core, request, OW_ANSWER_RETRY_STARTING, "still starting");
         return true;
     }
     const char *reason = ow_infeasible_reason(core, submission);
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -19,6 +19,7 @@
 #include "core/peers/peer_status.h"
 #include "core/readiness.h"
 #include "core/scheduling/classes.h"
+#include "core/status_log.h"
 #include "core/store_health.h"
 #include "core/type_discovery.h"
 #include "model/effect.h"
@@ -201,6 +202,7 @@
     ow_type_discovery_tick(core->type_discovery);
     ow_store_health_probe(core->store_health);
     ow_hello_tick(core->hello);
+    ow_status_log_tick(core);
 }
 
 GPtrArray *ow_core_step(struct ow_core *core, double now, double time_of_day)
--- a/src/core/core_state.h
+++ b/src/core/core_state.h
@@ -6,6 +6,7 @@
 #ifndef OW_CORE_CORE_STATE_H
 #define OW_CORE_CORE_STATE_H
 
+#include "core/api/request_metrics.h"
 #include "core/jobs/job.h"
 #include "core/pending_calls.h"
 #include "core/records/store_limits.h"
@@ -65,6 +66,10 @@
     struct ow_cancellation_ack *cancellation_ack;
     struct ow_type_discovery *type_discovery;
     struct ow_hello *hello;
+
+    /* For the log. */
+    struct ow_request_metrics request_metrics; /**< counted by job_reply.c */
+    double status_log_at;                      /**< when the periodic lines are due: status_log.c */
 };
 
 /** Appends an effect to those of this step; the caller of ow_core_step() owns it. */
--- a/src/core/jobs/job_cache.c
+++ b/src/core/jobs/job_cache.c
@@ -1,6 +1,8 @@
 #include "core/jobs/job_cache.h"
 
 #include "core/core_state.h"
+#include "core/jobs/job_read_metrics.h"
+#include "core/jobs/refresh_waiters.h"
 #include "core/leader/leader_state.h"
 #include "model/event.h"
 #include "model/http_status.h"
@@ -21,16 +23,13 @@
 /* Delay before a failed read is repeated. */
 static const double RETRY_S = 0.5;
 
-/* A caller that waits for a read that is sent after its request. */
-struct waiter {
-    ow_refreshed_fn fn;
-    void *data;
-};
-
 /* Reading the whole table, page by page. */
 struct loading {
     bool is_done;
     bool is_reading;   /* a page is being read */
+    double started_at; /* time of the request for the first page */
+    unsigned pages;    /* read so far */
+    unsigned failures; /* reads of pages that failed */
     char *last_key;    /* of the pages read so far; NULL: none */
     uint64_t revision; /* of the first page: changes since then are watched for */
     double next_at;    /* no page before this time */
@@ -39,36 +38,30 @@
 struct ow_job_cache {
     struct ow_core *core;
     struct loading loading;
-    uint64_t revision;  /* up to which changes have been applied */
-    bool is_watching;   /* a watch is open */
-    double watch_at;    /* no watch before this time */
-    bool is_refreshing; /* a refresh is in flight */
-    double refresh_at;  /* no refresh before this time */
-    bool is_stale;      /* the stored table is known to have changed since `revision` */
-    GArray *waiting;    /* struct waiter: for the next refresh */
-    GArray *refreshing; /* struct waiter: for the refresh in flight */
+    uint64_t revision;                     /* up to which changes have been applied */
+    bool is_watching;                      /* a watch is open */
+    double watch_at;                       /* no watch before this time */
+    bool is_refreshing;                    /* a refresh is in flight */
+    double refresh_at;                     /* no refresh before this time */
+    bool is_stale;                         /* the stored table is known to have changed since `revision` */
+    struct ow_refresh_waiters *waiting;    /* for the next refresh */
+    struct ow_refresh_waiters *refreshing; /* for the refresh in flight */
+    struct ow_job_read_metrics metrics;
 };
 
 struct ow_job_cache *ow_job_cache_new(struct ow_core *core)
 {
     struct ow_job_cache *job_cache = g_new0(struct ow_job_cache, 1);
     job_cache->core = core;
-    job_cache->waiting = g_array_new(FALSE, FALSE, sizeof(struct waiter));
-    job_cache->refreshing = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+    job_cache->waiting = ow_refresh_waiters_new();
+    job_cache->refreshing = ow_refresh_waiters_new();
     return job_cache;
 }
 
-static void free_waiters(GArray *waiters)
-{
-    for (guint i = 0; i < waiters->len; i++)
-        g_free(g_array_index(waiters, struct waiter, i).data);
-    g_array_free(waiters, TRUE);
-}
-
 void ow_job_cache_free(struct ow_job_cache *job_cache)
 {
-    free_waiters(job_cache->waiting);
-    free_waiters(job_cache->refreshing);
+    ow_refresh_waiters_free(job_cache->waiting);
+    ow_refresh_waiters_free(job_cache->refreshing);
     g_free(job_cache->loading.last_key);
     g_free(job_cache);
 }
@@ -110,19 +103,6 @@
     }
 }
 
-static void answer_waiters(struct ow_job_cache *job_cache, GArray *waiters, bool ok)
-{
-    /* Detached first: a callback may add a waiter. */
-    GArray *batch = g_array_new(FALSE, FALSE, sizeof(struct waiter));
-    g_array_append_vals(batch, waiters->data, waiters->len);
-    g_array_set_size(waiters, 0);
-    for (guint i = 0; i < batch->len; i++) {
-        struct waiter *waiter = &g_array_index(batch, struct waiter, i);
-        waiter->fn(job_cache->core, waiter->data, ok);
-    }
-    free_waiters(batch);
-}
-
 /* Whether a failed read of the changes since `revision` can't succeed when repeated, so that the whole table
    must be read: the key-value store no longer keeps the changes, or they exceed the size limit of a reply. */
 static bool needs_full_read(int status)
@@ -130,12 +110,16 @@
     return status == OW_HTTP_STATUS_GONE || status == OW_HTTP_STATUS_CONTENT_TOO_LARGE;
 }
 
-/* Reads the whole table again, page by page. */
-static void restart_load(struct ow_job_cache *job_cache)
+/* Reads the whole table again, page by page. `status` is that of the read which made it necessary. */
+static void restart_load(struct ow_job_cache *job_cache, int status)
 {
+    g_info("job table must be read again: revision=%" G_GUINT64_FORMAT " status=%d", job_cache->revision,
+           status);
     job_cache->loading.is_done = false;
     g_clear_pointer(&job_cache->loading.last_key, g_free);
     job_cache->loading.next_at = job_cache->core->now;
+    job_cache->loading.started_at = 0;
+    job_cache->loading.pages = job_cache->loading.failures = 0;
 }
 
 static void apply_changes(struct ow_job_cache *job_cache, const struct ow_store_reply *reply)
@@ -151,12 +135,14 @@
     struct ow_job_cache *job_cache = owner;
     (void)data;
     job_cache->is_refreshing = false;
-    bool ok = answer->store.status == OW_HTTP_STATUS_OK;
-    if (ok)
+    bool has_succeeded = answer->store.status == OW_HTTP_STATUS_OK;
+    ow_job_read_metrics_note_refresh(&job_cache->metrics, answer->store.status, job_cache->core->now);
+    if (has_succeeded)
         apply_changes(job_cache, &answer->store);
     else if (needs_full_read(answer->store.status))
-        restart_load(job_cache);
-    answer_waiters(job_cache, job_cache->refreshing, ok);
+        restart_load(job_cache, answer->store.status);
+    ow_refresh_waiters_answer(job_cache->refreshing, job_cache->core,
+                              has_succeeded ? OW_REFRESH_DONE : OW_REFRESH_FAILED);
 }
 
 static void on_watch(void *owner, void *data, const struct ow_event *answer)
@@ -165,10 +151,12 @@
     (void)data;
     job_cache->is_watching = false;
     double gap_s = job_cache->core->leader != NULL ? WATCH_GAP_LEADER_S : WATCH_GAP_S;
+    if (answer->store.status != OW_HTTP_STATUS_OK)
+        ow_job_read_metrics_note_failed_watch(&job_cache->metrics, answer->store.status);
     if (answer->store.status == OW_HTTP_STATUS_OK)
         apply_changes(job_cache, &answer->store);
     else if (needs_full_read(answer->store.status))
-        restart_load(job_cache);
+        restart_load(job_cache, answer->store.status);
     else
         gap_s = RETRY_S;
     job_cache->watch_at = job_cache->core->now + gap_s;
@@ -197,7 +185,9 @@
        page. */
     job_cache->revision = job_cache->loading.revision;
     job_cache->loading.is_done = true;
-    g_info("job table read: revision=%" G_GUINT64_FORMAT, job_cache->revision);
+    g_info("job table read: revision=%" G_GUINT64_FORMAT " pages=%u failures=%u duration_s=%.1f",
+           job_cache->revision, job_cache->loading.pages, job_cache->loading.failures,
+           job_cache->core->now - job_cache->loading.started_at);
 }
 
 static void on_page(void *owner, void *data, const struct ow_event *answer)
@@ -207,9 +197,11 @@
     (void)data;
     job_cache->loading.is_reading = false;
     if (reply->status != OW_HTTP_STATUS_OK) {
+        job_cache->loading.failures++;
         job_cache->loading.next_at = job_cache->core->now + RETRY_S;
         return;
     }
+    job_cache->loading.pages++;
     if (job_cache->loading.last_key == NULL)
         job_cache->loading.revision = reply->revision;
     apply_items(job_cache, reply->items);
@@ -223,14 +215,15 @@
 {
     struct ow_store_request *request = ow_store_request_new(OW_STORE_LIST, OW_KEY_JOBS);
     request->start_after_key = g_strdup(job_cache->loading.last_key);
+    if (job_cache->loading.started_at == 0)
+        job_cache->loading.started_at = job_cache->core->now;
     job_cache->loading.is_reading = true;
     ow_core_call_store(job_cache->core, request, on_page, job_cache, NULL, NULL);
 }
 
 void ow_job_cache_refresh(struct ow_job_cache *job_cache, ow_refreshed_fn fn, void *data)
 {
-    struct waiter waiter = {fn, data};
-    g_array_append_val(job_cache->waiting, waiter);
+    ow_refresh_waiters_add(job_cache->waiting, fn, data, job_cache->core->now);
 }
 
 void ow_job_cache_note_change(struct ow_job_cache *job_cache, uint64_t revision)
@@ -247,11 +240,12 @@
 
 static void refresh(struct ow_job_cache *job_cache)
 {
-    GArray *waiters = job_cache->waiting;
+    struct ow_refresh_waiters *waiters = job_cache->waiting;
     job_cache->waiting = job_cache->refreshing;
     job_cache->refreshing = waiters;
     job_cache->is_stale = false;
     job_cache->is_refreshing = true;
+    job_cache->metrics.sent_at = job_cache->core->now;
     job_cache->refresh_at = job_cache->core->now + refresh_gap_s(job_cache->core->settings);
     send_watch(job_cache, 0, on_refreshed);
 }
@@ -261,14 +255,13 @@
     if (!job_cache->loading.is_reading && job_cache->core->now >= job_cache->loading.next_at)
         load_page(job_cache);
     /* Before the table is loaded every refresh fails at once. */
-    if (job_cache->waiting->len > 0)
-        answer_waiters(job_cache, job_cache->waiting, false);
+    ow_refresh_waiters_answer(job_cache->waiting, job_cache->core, OW_REFRESH_NOT_LOADED);
 }
 
 static void tick_loaded(struct ow_job_cache *job_cache)
 {
     double now = job_cache->core->now;
-    bool is_refresh_wanted = job_cache->waiting->len > 0 || job_cache->is_stale;
+    bool is_refresh_wanted = ow_refresh_waiters_count(job_cache->waiting) > 0 || job_cache->is_stale;
     if (is_refresh_wanted && !job_cache->is_refreshing && now >= job_cache->refresh_at)
         refresh(job_cache);
     if (!job_cache->is_watching && now >= job_cache->watch_at) {
@@ -284,3 +277,20 @@
     else
         tick_loading(job_cache);
 }
+
+void ow_job_cache_log_metrics(struct ow_job_cache *job_cache)
+{
+    struct ow_job_read_metrics *metrics = &job_cache->metrics;
+    unsigned waiting =
+        ow_refresh_waiters_count(job_cache->waiting) + ow_refresh_waiters_count(job_cache->refreshing);
+    double now = job_cache->core->now;
+    double oldest_s = MAX(ow_refresh_waiters_oldest_s(job_cache->waiting, now),
+                          ow_refresh_waiters_oldest_s(job_cache->refreshing, now));
+    if (waiting > 0 || !ow_job_read_metrics_is_empty(metrics))
+        g_info("job table reads: revision=%" G_GUINT64_FORMAT
+               " is_loaded=%d refreshes=%u failed_refreshes=%u "
+               "slowest_s=%.2f failed_watches=%u last_failure=%d waiting_requests=%u oldest_wait_s=%.1f",
+               job_cache->revision, job_cache->loading.is_done, metrics->refreshes, metrics->failed_refreshes,
+               metrics->slowest_s, metrics->failed_watches, metrics->last_failure, waiting, oldest_s);
+    ow_job_read_metrics_reset(metrics);
+}
--- a/src/core/jobs/job_cache.h
+++ b/src/core/jobs/job_cache.h
@@ -5,16 +5,14 @@
 #ifndef OW_CORE_JOBS_JOB_CACHE_H
 #define OW_CORE_JOBS_JOB_CACHE_H
 
+#include "core/jobs/refresh_waiters.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 
 struct ow_core;
 struct ow_job_cache;
 
-/** Called when the table is at least as new as the request for the refresh, or with `ok` false if that
- * failed. The job cache frees `data`. */
-typedef void (*ow_refreshed_fn)(struct ow_core *core, void *data, bool ok);
-
 /** Creates a cache that loads the table in the following ticks. Freed by ow_job_cache_free(); `core` must
  * outlive it. */
 struct ow_job_cache *ow_job_cache_new(struct ow_core *core);
@@ -27,6 +25,9 @@
 void ow_job_cache_refresh(struct ow_job_cache *job_cache, ow_refreshed_fn fn, void *data);
 /** Notes that the stored table has changed at `revision`: a refresh is sent soon if this copy is older. */
 void ow_job_cache_note_change(struct ow_job_cache *job_cache, uint64_t revision);
+/** Logs one line about the reads since the last call, and the callers that wait for one; nothing if there
+ * were none. */
+void ow_job_cache_log_metrics(struct ow_job_cache *job_cache);
 /** Sends the reads that are due. */
 void ow_job_cache_tick(struct ow_job_cache *job_cache);
 
--- a/src/core/leader/leader_status.h
+++ b/src/core/leader/leader_status.h
@@ -18,5 +18,7 @@
 
 /** Takes a snapshot of the leader. */
 struct ow_leader_status ow_leader_status_of(const struct ow_leader *leader);
+/** Logs one line on the leader's progress and the work that it has queued. */
+void ow_leader_status_log(const struct ow_leader *leader);
 
 #endif
--- a/src/core/records/failover.c
+++ b/src/core/records/failover.c
@@ -104,14 +104,14 @@
 }
 
 /* `data` is the fencing token of the leader that requested the refresh; its term may have ended since. */
-static void on_jobs_refreshed(struct ow_core *core, void *data, bool ok)
+static void on_jobs_refreshed(struct ow_core *core, void *data, enum ow_refresh_result result)
 {
     struct ow_leader *leader = core->leader;
     const uint64_t *fencing_token = data;
     if (leader == NULL || leader->fencing_token != *fencing_token)
         return;
     leader->failover->is_reading = false;
-    if (!ok) {
+    if (result != OW_REFRESH_DONE) {
         retry_later(leader);
         return;
     }
--- a/src/core/records/transaction_reply.c
+++ b/src/core/records/transaction_reply.c
@@ -130,11 +130,11 @@
 }
 
 /* `data` is the fencing token of the leader that requested the refresh; its term may have ended since. */
-static void on_jobs_refreshed(struct ow_core *core, void *data, bool ok)
+static void on_jobs_refreshed(struct ow_core *core, void *data, enum ow_refresh_result result)
 {
     struct ow_leader *leader = core->leader;
     const uint64_t *fencing_token = data;
-    (void)ok; /* if the read failed, the write fails again and the job is read again */
+    (void)result; /* if the read failed, the write fails again and the job is read again */
     if (leader == NULL || leader->fencing_token != *fencing_token)
         return;
     leader->recorder->mod_revision_reads--;
--- a/src/core/store_health.c
+++ b/src/core/store_health.c
@@ -12,6 +12,14 @@
 /* After failing for this long the key-value store counts as lost. */
 static const double LOST_AFTER_S = 2;
 
+/* The replies since the last log line. */
+struct reply_metrics {
+    unsigned served;      /* any status but the following */
+    unsigned limited;     /* TOO_MANY_REQUESTS */
+    unsigned unavailable; /* UNAVAILABLE */
+    unsigned unanswered;  /* no response */
+};
+
 struct ow_store_health {
     struct ow_core *core;
     double succeeded_at;  /* time of the last successful answer; 0: none yet */
@@ -20,6 +28,7 @@
     bool is_silent;       /* the last failure was a missing response, not an error status */
     bool is_probing;      /* a probe is in flight */
     double probed_at;     /* when the last probe was sent */
+    struct reply_metrics metrics;
 };
 
 struct ow_store_health *ow_store_health_new(struct ow_core *core)
@@ -34,9 +43,37 @@
     g_free(health);
 }
 
+static void count_reply(struct reply_metrics *metrics, int status)
+{
+    switch (status) {
+    case OW_HTTP_STATUS_TOO_MANY_REQUESTS:
+        metrics->limited++;
+        break;
+    case OW_HTTP_STATUS_UNAVAILABLE:
+        metrics->unavailable++;
+        break;
+    case OW_HTTP_STATUS_NONE:
+        metrics->unanswered++;
+        break;
+    default:
+        metrics->served++;
+        break;
+    }
+}
+
+void ow_store_health_log_metrics(struct ow_store_health *health)
+{
+    const struct reply_metrics *metrics = &health->metrics;
+    if (metrics->served + metrics->limited + metrics->unavailable + metrics->unanswered > 0)
+        g_info("key-value store replies: served=%u limited=%u unavailable=%u unanswered=%u", metrics->served,
+               metrics->limited, metrics->unavailable, metrics->unanswered);
+    health->metrics = (struct reply_metrics){0};
+}
+
 void ow_store_health_note_reply(struct ow_store_health *health, int status)
 {
     double now = health->core->now;
+    count_reply(&health->metrics, status);
     /* UNAVAILABLE: the key-value store can be reached, but does not serve at present. */
     bool has_failed = status == OW_HTTP_STATUS_NONE || status == OW_HTTP_STATUS_UNAVAILABLE;
     health->is_silent = status == OW_HTTP_STATUS_NONE;
--- a/src/core/store_health.h
+++ b/src/core/store_health.h
@@ -17,6 +17,8 @@
 void ow_store_health_free(struct ow_store_health *health);
 /** Records the HTTP status of a reply from the key-value store; OW_HTTP_STATUS_NONE: no response. */
 void ow_store_health_note_reply(struct ow_store_health *health, int status);
+/** Logs one line about the replies since the last call; nothing if there were none. */
+void ow_store_health_log_metrics(struct ow_store_health *health);
 /** Probes the key-value store if it has not answered for some time. A controller without other requests has
  * only open watches, and these show nothing when it is cut off. */
 void ow_store_health_probe(struct ow_store_health *health);
--- a/src/io/daemon.c
+++ b/src/io/daemon.c
@@ -12,6 +12,8 @@
 
 /* Interval between sweeps of connections. */
 static const double SWEEP_INTERVAL_S = 0.1;
+/* Interval between log lines on the load. */
+static const double LOAD_LOG_INTERVAL_S = 10;
 /* An incoming connection that has been idle for longer is closed. */
 static const double IDLE_TIMEOUT_S = 60;
 enum {
@@ -120,10 +122,24 @@
     ow_peer_links_sweep(daemon->peers, now);
 }
 
+static void log_load_if_due(struct ow_daemon *daemon, double now)
+{
+    if (now < daemon->load_log_at)
+        return;
+    daemon->load_log_at = now + LOAD_LOG_INTERVAL_S;
+    struct ow_loop_load load = ow_loop_take_load(daemon->loop);
+    struct ow_http_server_metrics server = ow_http_server_take_metrics(daemon->server);
+    g_info("event loop load: rounds=%u saturated_rounds=%u longest_round_s=%.2f connections=%u "
+           "connections_max=%u refused_connections=%u closed_for_room=%u",
+           load.rounds, load.saturated_rounds, load.longest_round_s, server.open,
+           daemon->sockets_max - daemon->client_sockets_min, server.refused, server.closed_for_room);
+}
+
 double ow_daemon_round(void *owner, double now)
 {
     struct ow_daemon *daemon = owner;
     sweep_if_due(daemon, now);
+    log_load_if_due(daemon, now);
     /* Under load, the reply to a lease renewal must not queue behind thousands of heartbeats. */
     if (ow_loop_is_saturated(daemon->loop))
         ow_http_client_read_from(daemon->client, daemon->settings->store_endpoint);
--- a/src/io/daemon_state.h
+++ b/src/io/daemon_state.h
@@ -25,6 +25,7 @@
                              controllers */
     unsigned client_sockets_min; /**< part of `sockets_max` that is always available to outgoing requests */
     double sweep_at;             /**< monotonic time of the next sweep of connections */
+    double load_log_at;          /**< monotonic time of the next log line on the load */
 };
 
 #endif
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -21,6 +21,7 @@
     GPtrArray *slots;     /* struct ow_http_connection, owned; NULL for a free slot */
     unsigned count;       /* number of open connections */
     uint32_t last_serial; /* serial number of the latest request */
+    struct ow_http_server_metrics metrics;
 };
 
 /* ---- connections ---- */
@@ -95,6 +96,7 @@
     if (longest_idle == NULL || ow_loop_now(server->loop) - longest_idle->active_at < CLOSABLE_IDLE_S)
         return false;
     ow_http_connection_close(longest_idle);
+    server->metrics.closed_for_room++;
     return true;
 }
 
@@ -108,10 +110,12 @@
             return;
         /* Connections beyond the maximum are closed immediately, so that the load balancer tries another
            controller. */
-        if (server->count >= server->options.max_connections && !close_longest_idle(server))
+        if (server->count >= server->options.max_connections && !close_longest_idle(server)) {
             ow_net_refuse(fd);
-        else
+            server->metrics.refused++;
+        } else {
             open_connection(server, fd);
+        }
     }
 }
 
@@ -167,6 +171,14 @@
     return server->count;
 }
 
+struct ow_http_server_metrics ow_http_server_take_metrics(struct ow_http_server *server)
+{
+    struct ow_http_server_metrics metrics = server->metrics;
+    metrics.open = server->count;
+    server->metrics = (struct ow_http_server_metrics){0};
+    return metrics;
+}
+
 void ow_http_server_drop_unsent(struct ow_http_server *server)
 {
     for (uint32_t slot = 0; slot < server->slots->len; slot++) {
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -66,6 +66,14 @@
                            const char *body, size_t size);
 /** Returns the number of open connections. */
 unsigned ow_http_server_count_connections(const struct ow_http_server *server);
+/** The connections of a server, for the log. */
+struct ow_http_server_metrics {
+    unsigned open;            /**< now */
+    unsigned refused;         /**< new ones, closed because all others were active; since the last call */
+    unsigned closed_for_room; /**< idle ones, closed to make room; since the last call */
+};
+/** Returns the metrics, and resets those that count from the last call. */
+struct ow_http_server_metrics ow_http_server_take_metrics(struct ow_http_server *server);
 /** Closes the connections that have unsent bytes. */
 void ow_http_server_drop_unsent(struct ow_http_server *server);
 /** Closes connections that have been idle for too long. Should be called every few seconds.
--- a/src/io/loop.c
+++ b/src/io/loop.c
@@ -18,6 +18,7 @@
     void *wake_owner;
     int ready_count;   /* number of events in the current batch; 0 between batches */
     bool is_saturated; /* the last batch was full */
+    struct ow_loop_load load;
     struct epoll_event ready[BATCH_EVENTS];
 };
 
@@ -99,6 +100,20 @@
     return loop->is_saturated;
 }
 
+static void note_load(struct ow_loop *loop, double round_s)
+{
+    loop->load.rounds++;
+    loop->load.saturated_rounds += loop->is_saturated ? 1 : 0;
+    loop->load.longest_round_s = MAX(loop->load.longest_round_s, round_s);
+}
+
+struct ow_loop_load ow_loop_take_load(struct ow_loop *loop)
+{
+    struct ow_loop_load load = loop->load;
+    loop->load = (struct ow_loop_load){0};
+    return load;
+}
+
 /* Waits for a batch of events, for at most the time that the last round returned, rounded up to 1 ms. */
 static void fetch_events(struct ow_loop *loop)
 {
@@ -111,6 +126,7 @@
         loop->wake(loop->wake_owner, loop->now - last_batch_at - loop->wait_s, loop->now);
     loop->ready_count = MAX(count, 0);
     loop->is_saturated = count == BATCH_EVENTS;
+    note_load(loop, loop->now - last_batch_at);
 }
 
 static void call_watches(struct ow_loop *loop)
--- a/src/io/loop.h
+++ b/src/io/loop.h
@@ -50,6 +50,16 @@
 void ow_loop_free(struct ow_loop *loop);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(ow_loop, ow_loop_free)
 
+/** The load of a loop since the last call of ow_loop_take_load(). */
+struct ow_loop_load {
+    unsigned rounds;
+    unsigned saturated_rounds; /**< whose batch was full */
+    double longest_round_s;    /**< from one batch to the next, waiting included */
+};
+
+/** Returns the load since the last call. */
+struct ow_loop_load ow_loop_take_load(struct ow_loop *loop);
+
 /** Sets the function that is called whenever the loop has finished waiting. NULL removes it. */
 void ow_loop_set_wake_callback(struct ow_loop *loop, ow_wake_fn wake, void *owner);
 /** Returns the monotonic time of the current batch, in seconds. */
