A busy controller sends to the key-value store before it serves other connections

Seen by callers: after troubles at 4,000 machines, questions about cancelled jobs got 503 for minutes ("nothing is to be learnt of" them), questions at busy controllers timed out, and tasks were killed by their workers' leases.

Cause: priority inversion. A request to the store was put into the connection's buffer, and sent when the loop reported the descriptor as writable. The loop takes 64 ready descriptors at a time in the order in which they became ready, so at a failover the renewal of the leader's lease waited behind the heartbeats of all workers. The lease ran out, the next leader met the same load, and no leader stayed long enough to acknowledge a cancellation: a metastable failure, for each failover makes the load that brings about the next one.

Change: on an established connection a request is sent at once. While the loop is saturated, a round first sends and reads on all connections to the store, also on new ones. Fewer calls of epoll_ctl come with it.

Why it works: a renewal no longer depends on how many descriptors are ready, only on the time between two rounds.

--- a/src/io/daemon.c
+++ b/src/io/daemon.c
@@ -140,9 +140,9 @@
     struct ow_daemon *daemon = owner;
     sweep_if_due(daemon, now);
     log_load_if_due(daemon, now);
-    /* Under load, the reply to a lease renewal must not queue behind thousands of heartbeats. */
+    /* Under load, a lease renewal and its reply must not queue behind thousands of heartbeats. */
     if (ow_loop_is_saturated(daemon->loop))
-        ow_http_client_read_from(daemon->client, daemon->settings->store_endpoint);
+        ow_http_client_advance(daemon->client, daemon->settings->store_endpoint);
     double time_of_day = (double)g_get_real_time() / G_USEC_PER_SEC;
     g_autoptr(GPtrArray) effects = ow_shard_manager_step(daemon->manager, now, time_of_day);
     for (guint i = 0; i < effects->len; i++)
--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -132,15 +132,15 @@
     ow_client_connection_send(connection, &request);
 }
 
-static void read_if_from(struct ow_client_connection *connection, const void *endpoint)
+static void advance_if_to(struct ow_client_connection *connection, const void *endpoint)
 {
-    if (ow_client_connection_awaits_response(connection) && strcmp(connection->endpoint, endpoint) == 0)
-        ow_client_connection_read(connection);
+    if (connection->state == OW_CLIENT_CONNECTION_BUSY && strcmp(connection->endpoint, endpoint) == 0)
+        ow_client_connection_advance(connection);
 }
 
-void ow_http_client_read_from(struct ow_http_client *client, const char *endpoint)
+void ow_http_client_advance(struct ow_http_client *client, const char *endpoint)
 {
-    for_each_connection(client, read_if_from, endpoint);
+    for_each_connection(client, advance_if_to, endpoint);
 }
 
 static void fail_if_unsent(struct ow_client_connection *connection, const void *argument)
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -33,7 +33,7 @@
  * @param loop must outlive the client
  * @param connections_max maximum of open connections; ow_http_client_send without ow_http_client_has_room may
  * exceed it
- * @param reply called from the loop, and from ow_http_client_read_from, _drop_unsent and _sweep
+ * @param reply called from the loop, and from ow_http_client_advance, _drop_unsent and _sweep
  * @param owner passed to `reply`; must live until ow_http_client_free */
 struct ow_http_client *ow_http_client_new(struct ow_loop *loop, unsigned connections_max,
                                           ow_http_reply_fn reply, void *owner);
@@ -51,8 +51,8 @@
  * @param tag passed to `reply` */
 void ow_http_client_send(struct ow_http_client *client, const char *endpoint, const char *method,
                          const char *path, const char *body, double timeout_s, uint64_t tag);
-/** Reads from the connections to the endpoint immediately, without waiting for the loop. */
-void ow_http_client_read_from(struct ow_http_client *client, const char *endpoint);
+/** Sends and reads on the busy connections to the endpoint immediately, without waiting for the loop. */
+void ow_http_client_advance(struct ow_http_client *client, const char *endpoint);
 /** Closes the connections that have unsent bytes; their requests end without a response. */
 void ow_http_client_drop_unsent(struct ow_http_client *client);
 /** Sets the maximum number of open connections. Excess idle connections are closed in the next sweep. */
--- a/src/io/http_client_connection.c
+++ b/src/io/http_client_connection.c
@@ -89,6 +89,12 @@
     handle_parsed(connection, result, used == size);
 }
 
+static void watch_events(struct ow_client_connection *connection)
+{
+    uint32_t events = EPOLLIN | (connection->out->len > 0 ? EPOLLOUT : 0);
+    ow_loop_change(connection->loop, &connection->watch, events);
+}
+
 /* Sends as much as the socket accepts. Returns false if the connection has ended. */
 static bool flush(struct ow_client_connection *connection)
 {
@@ -98,7 +104,7 @@
         ow_client_connection_fail(connection);
         return false;
     }
-    ow_loop_change(connection->loop, &connection->watch, EPOLLIN | (connection->out->len > 0 ? EPOLLOUT : 0));
+    watch_events(connection);
     return true;
 }
 
@@ -111,6 +117,14 @@
         ow_client_connection_read(connection);
 }
 
+void ow_client_connection_advance(struct ow_client_connection *connection)
+{
+    if (connection->out->len > 0)
+        flush(connection);
+    else
+        ow_client_connection_read(connection);
+}
+
 /* ---- creation and destruction ---- */
 
 struct ow_client_connection *ow_client_connection_new(struct ow_loop *loop, const char *endpoint,
@@ -161,9 +175,14 @@
         connection->deadline = 0; /* the next deadline check reports the failure */
         return;
     }
+    bool is_established = connection->state == OW_CLIENT_CONNECTION_IDLE;
     connection->state = OW_CLIENT_CONNECTION_BUSY;
     connection->deadline = ow_loop_now(connection->loop) + request->timeout_s;
-    ow_loop_change(connection->loop, &connection->watch, EPOLLIN | EPOLLOUT);
+    /* Not left to the loop, which under load reports this descriptor only after thousands of others. If it
+       fails, the loop reports the descriptor, and the request fails then. */
+    if (is_established)
+        (void)ow_net_flush(connection->watch.fd, connection->out, &connection->sent);
+    watch_events(connection);
 }
 
 bool ow_client_connection_awaits_response(const struct ow_client_connection *connection)
--- a/src/io/http_client_connection.h
+++ b/src/io/http_client_connection.h
@@ -88,10 +88,13 @@
     uint64_t tag;
 };
 
-/** Assigns a request to a new or idle connection; the loop sends it. `end` is never called from inside this
- * function. */
+/** Assigns a request to a new or idle connection. On an established one it is sent at once, as far as the
+ * socket accepts it, and the loop sends the rest. `end` is never called from inside this function. */
 void ow_client_connection_send(struct ow_client_connection *connection,
                                const struct ow_client_request *request);
+/** Sends the unsent bytes of a BUSY connection, or reads if there are none, without waiting for the loop; may
+ * call `end`. */
+void ow_client_connection_advance(struct ow_client_connection *connection);
 /** Reads the bytes that have been received; may call `end`. */
 void ow_client_connection_read(struct ow_client_connection *connection);
 /** Ends the connection, and its request without a response; calls `end`. */
--- a/tests/sockets/test_sockets.c
+++ b/tests/sockets/test_sockets.c
@@ -61,9 +61,9 @@
     struct socket_fixture *fixture = *state;
     socket_fixture_send_held(fixture);
     ow_http_server_answer(fixture->server, fixture->last_request, 200, NULL, "here", 4);
-    ow_http_client_read_from(fixture->client, "127.0.0.1:1");
+    ow_http_client_advance(fixture->client, "127.0.0.1:1");
     assert_int_equal(fixture->responses, 0);
-    ow_http_client_read_from(fixture->client, socket_endpoint);
+    ow_http_client_advance(fixture->client, socket_endpoint);
     assert_int_equal(fixture->responses, 1);
     assert_int_equal(fixture->status, 200);
 }
--- a/tests/sockets/test_store_request_priority.c
+++ b/tests/sockets/test_store_request_priority.c
@@ -90,11 +90,27 @@
     assert_true(received > 0);
 }
 
+/* The same where no connection to the store is idle, so that a new one is opened. */
+static void test_request_on_a_new_connection_needs_no_batch_of_the_loop(void **state)
+{
+    struct store_fixture *fixture = *state;
+    send_request(fixture);
+    send_request(fixture);
+    int first_connection = fixture->connection;
+    fixture->connection = accept(fixture->listener, NULL, NULL);
+    ow_http_client_advance(fixture->sockets.client, fixture->endpoint);
+    ssize_t received = receive(fixture);
+    close(first_connection);
+    assert_true(received > 0);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_request_is_sent_before_other_ready_connections_are_served, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_request_on_a_new_connection_needs_no_batch_of_the_loop, setup,
+                                        teardown),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
