A busy leader reads heartbeats before it decides, and its decisions keep to a share of the time

Seen by callers: after troubles at 4,000 machines, tasks were killed by the leases of healthy workers and started again, jobs were not done, and questions timed out, although one leader stayed (log: "leader status" with "fenced" that does not grow).

Cause: work without bound before more urgent work. The loop handled 64 ready connections and then ran a whole step. A step in which a scheduling cycle or a plan of scale-out was due took up to a second of wall time, so that ten seconds had some 90 batches: fewer heartbeats than a quiet fleet of that size sends. Workers timed out after 4 s, tried the next controller, and came back with new connections; their leases ran out, the tasks had to be placed anew, and the cycles found more to do. The goodput stayed down with no trouble left.

A profile of the controllers in that state: leader tick 44%, of it scheduling cycle 32% and scale-out 8%, against 26% for reading.

Change: while all batches are full the loop goes on reading for 0.25 s before the next round. It measures a round that began with a full batch; the core then pauses decisions for three times that duration, 3 s at most. Processes that keep up never pause: simulated clusters of the tests, and so the decisions in them, are as before.

Why it works: in overload heartbeats get three quarters of the time, so answers go out within the workers' time-out, leases are renewed, and the backlog shrinks.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -205,6 +205,11 @@
     ow_status_log_tick(core);
 }
 
+void ow_core_set_overload(struct ow_core *core, double last_step_s)
+{
+    core->overload_step_s = last_step_s;
+}
+
 GPtrArray *ow_core_step(struct ow_core *core, double now, double time_of_day)
 {
     core->now = now;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -24,6 +24,9 @@
 void ow_core_free(struct ow_core *core);
 /** Queues an event; the core takes ownership of it. */
 void ow_core_push(struct ow_core *core, struct ow_event *event);
+/** Sets the duration of the last step if the process can't keep up with its input, or 0 (initially): it
+ * bounds the share of time that decisions take. */
+void ow_core_set_overload(struct ow_core *core, double last_step_s);
 /** Runs one step: handles the queued events and does everything that is due. Returns the effects (struct
  * ow_effect); the caller owns the array and its members. `now` is the monotonic clock in seconds.
  * `time_of_day`, in seconds since 1970, is used only for the age of jobs. */
--- a/src/core/core_state.h
+++ b/src/core/core_state.h
@@ -45,6 +45,8 @@
     double now;         /**< monotonic clock, in seconds */
     double time_of_day; /**< seconds since 1970, approximate: used for the age of jobs, never for a safety
                            decision */
+    double
+        overload_step_s; /**< duration of the last step if the process can't keep up with its input, else 0 */
     GQueue queues[OW_EVENT_QUEUES]; /**< struct ow_event, one queue for each kind */
     GPtrArray *effects;             /**< struct ow_effect, of this step so far */
     struct ow_pending_calls *pending_calls;
--- a/src/core/leader/cycle_timer.c
+++ b/src/core/leader/cycle_timer.c
@@ -1,6 +1,7 @@
 #include "core/leader/cycle_timer.h"
 
 #include "core/jobs/execution.h"
+#include "core/leader/decision_pacing.h"
 #include "core/leader/leader_state.h"
 #include "core/scheduling/schedule.h"
 
@@ -31,8 +32,9 @@
 
 void ow_cycle_timer_tick(struct ow_leader *leader)
 {
-    if (!is_due(leader))
+    if (!is_due(leader) || !ow_decision_pacing_allows(leader))
         return;
+    ow_decision_pacing_note(leader);
     leader->cycle.due = false;
     leader->cycle.last_at = leader->core->now;
     ow_schedule_cycle(leader);
--- a/src/core/leader/leader.c
+++ b/src/core/leader/leader.c
@@ -5,6 +5,7 @@
 #include "core/jobs/quota.h"
 #include "core/leader/cutoff_detection.h"
 #include "core/leader/cycle_timer.h"
+#include "core/leader/decision_pacing.h"
 #include "core/leader/leader_state.h"
 #include "core/leader/machine_type_polling.h"
 #include "core/machines/command_queue.h"
@@ -107,6 +108,7 @@
     ow_machine_type_polling_tick(leader);
     if (leader->phase != OW_LEADER_READY)
         return;
+    ow_decision_pacing_tick(leader);
     ow_cycle_timer_tick(leader);
     if (!check_health(leader))
         return;
--- a/src/core/leader/leader_state.h
+++ b/src/core/leader/leader_state.h
@@ -36,6 +36,12 @@
     double gpu_cpus;             /**< gpu_reserve.c: CPUs that a GPU needs to be of use, by the open jobs */
 };
 
+/** The pause of decisions while the process is overloaded: decision_pacing.c. */
+struct ow_decision_pacing {
+    bool has_decided;    /**< the last step, or this one, makes decisions */
+    double paused_until; /**< no decisions before this time */
+};
+
 /** The phases of a new leader's failover. Only failover.c changes the phase. */
 enum ow_leader_phase {
     OW_LEADER_REFRESHING, /**< the copy of the job table is being refreshed */
@@ -69,6 +75,7 @@
     GPtrArray *executions; /**< struct ow_execution, owned: execution_table.c */
     struct ow_quota *quota;
     struct ow_cycle_state cycle;
+    struct ow_decision_pacing decision_pacing;
 
     /* Records. */
     struct ow_record_format *record_format;
--- a/src/core/machines/scale_out.c
+++ b/src/core/machines/scale_out.c
@@ -2,6 +2,7 @@
 
 #include "core/jobs/execution.h"
 #include "core/jobs/quota.h"
+#include "core/leader/decision_pacing.h"
 #include "core/leader/leader_state.h"
 #include "core/machines/fleet.h"
 #include "core/machines/headroom.h"
@@ -235,8 +236,9 @@
 {
     double now = leader->core->now;
     ow_fleet_list(leader);
-    if (now < leader->scale_out->next_at)
+    if (now < leader->scale_out->next_at || !ow_decision_pacing_allows(leader))
         return;
+    ow_decision_pacing_note(leader);
     leader->scale_out->next_at = now + SCALING_INTERVAL_S;
     provision_for_waiting_jobs(leader);
     ow_scale_in_tick(leader);
--- a/src/io/daemon.c
+++ b/src/io/daemon.c
@@ -143,6 +143,7 @@
     /* Under load, a lease renewal and its reply must not queue behind thousands of heartbeats. */
     if (ow_loop_is_saturated(daemon->loop))
         ow_http_client_advance(daemon->client, daemon->settings->store_endpoint);
+    ow_shard_manager_set_overload(daemon->manager, ow_loop_overload_round_s(daemon->loop));
     double time_of_day = (double)g_get_real_time() / G_USEC_PER_SEC;
     g_autoptr(GPtrArray) effects = ow_shard_manager_step(daemon->manager, now, time_of_day);
     for (guint i = 0; i < effects->len; i++)
--- a/src/io/loop.c
+++ b/src/io/loop.c
@@ -8,6 +8,10 @@
 /* Maximum number of events in a batch. */
 enum { BATCH_EVENTS = 64 };
 
+/* Longest time from one round to the next while all batches are full: what has arrived is read before a round
+   makes decisions. */
+static const double SATURATED_ROUND_INTERVAL_S = 0.25;
+
 static const double MS_PER_S = 1000.0, S_PER_NS = 1e-9;
 
 struct ow_loop {
@@ -16,8 +20,10 @@
     double wait_s; /* waiting time that the last round returned */
     ow_wake_fn wake;
     void *wake_owner;
-    int ready_count;   /* number of events in the current batch; 0 between batches */
-    bool is_saturated; /* the last batch was full */
+    int ready_count;         /* number of events in the current batch; 0 between batches */
+    bool is_saturated;       /* the last batch was full */
+    double round_at;         /* time of the batch before the last round */
+    double overload_round_s; /* duration of the last round if its batch was full, else 0 */
     struct ow_loop_load load;
     struct epoll_event ready[BATCH_EVENTS];
 };
@@ -139,11 +145,32 @@
     loop->ready_count = 0;
 }
 
+static bool is_round_due(const struct ow_loop *loop)
+{
+    return !loop->is_saturated || loop->now - loop->round_at >= SATURATED_ROUND_INTERVAL_S;
+}
+
+double ow_loop_overload_round_s(const struct ow_loop *loop)
+{
+    return loop->overload_round_s;
+}
+
+static void call_round(struct ow_loop *loop, ow_round_fn round, void *owner)
+{
+    double started_at = loop->is_saturated ? monotonic_now() : 0;
+    loop->round_at = loop->now;
+    loop->wait_s = round(owner, loop->now);
+    loop->overload_round_s = loop->is_saturated ? monotonic_now() - started_at : 0;
+}
+
 void ow_loop_once(struct ow_loop *loop, ow_round_fn round, void *owner)
 {
     fetch_events(loop);
     call_watches(loop);
-    loop->wait_s = round(owner, loop->now);
+    if (is_round_due(loop))
+        call_round(loop, round, owner);
+    else
+        loop->wait_s = 0;
 }
 
 void ow_loop_run(struct ow_loop *loop, ow_round_fn round, void *owner)
--- a/src/io/loop.h
+++ b/src/io/loop.h
@@ -27,7 +27,7 @@
  * @param events the epoll events that are ready */
 typedef void (*ow_ready_fn)(void *owner, uint32_t events);
 
-/** Called once after every batch of ready descriptors.
+/** Called once after every batch of ready descriptors; while all batches are full, several times a second.
  * @param owner as passed to ow_loop_run or ow_loop_once
  * @param now monotonic time of the batch, in seconds
  * @return for how many seconds the loop may wait for descriptors before the next round */
@@ -90,9 +90,13 @@
 
 /** Whether the current batch is full. More descriptors may then be ready, to be handled in later batches. */
 bool ow_loop_is_saturated(const struct ow_loop *loop);
+/** The duration of the last round, in seconds, if there were more ready descriptors than the loop had time
+ * for before that round; else 0. */
+double ow_loop_overload_round_s(const struct ow_loop *loop);
 /** Runs the loop; never returns. */
 void ow_loop_run(struct ow_loop *loop, ow_round_fn round, void *owner);
-/** Handles one batch of ready descriptors and one round. For tests and the command line client. */
+/** Handles one batch of ready descriptors, and a round if that is due. For tests and the command line client.
+ */
 void ow_loop_once(struct ow_loop *loop, ow_round_fn round, void *owner);
 
 #endif
--- a/src/sharding/shard.c
+++ b/src/sharding/shard.c
@@ -2,6 +2,7 @@
 
 #include "model/cloud.h"
 #include "model/effect.h"
+#include "model/peer.h"
 #include "sharding/effect_guard.h"
 #include "sharding/shard_keys.h"
 #include "sharding/shard_map.h"
@@ -172,3 +173,28 @@
     g_ptr_array_free(effects, TRUE);
     ow_core_status(shard->core, &shard->status);
 }
+
+unsigned ow_shards_count_led(const GPtrArray *shards)
+{
+    unsigned count = 0;
+    for (guint i = 0; i < shards->len; i++)
+        count += ow_shard_is_led_here(g_ptr_array_index(shards, i)) ? 1 : 0;
+    return count;
+}
+
+GArray *ow_shards_describe_led(const GPtrArray *shards)
+{
+    GArray *led_shards = ow_peer_shards_new();
+    for (guint i = 0; i < shards->len; i++) {
+        const struct ow_shard *shard = g_ptr_array_index(shards, i);
+        const struct ow_peer_shard description = {
+            .name = (char *)shard->name,
+            .fencing_token = shard->status.fencing_token,
+            .serving = ow_failover_log_last(&shard->failovers)->phase == OW_FAILOVER_SERVING,
+            .machines = shard->status.machines,
+        };
+        if (ow_shard_is_led_here(shard))
+            ow_peer_shards_add(led_shards, &description);
+    }
+    return led_shards;
+}
--- a/src/sharding/shard.h
+++ b/src/sharding/shard.h
@@ -49,6 +49,11 @@
 void ow_shard_step(struct ow_shard *shard, double now, double time_of_day, GPtrArray *out);
 /** Whether this controller leads the shard, as of the last step. */
 bool ow_shard_is_led_here(const struct ow_shard *shard);
+/** The number of shards (struct ow_shard) that this controller leads, as of the last step. */
+unsigned ow_shards_count_led(const GPtrArray *shards);
+/** The shards that this controller leads, for its heartbeats to other controllers: struct ow_peer_shard,
+ * owned by the caller. */
+GArray *ow_shards_describe_led(const GPtrArray *shards);
 /** Records that the process resumed after a pause that may have been longer than the shard's lease. */
 void ow_shard_note_pause(struct ow_shard *shard, double resumed_at);
 
--- a/src/sharding/shard_manager.c
+++ b/src/sharding/shard_manager.c
@@ -121,36 +121,9 @@
         ow_shard_dispatch_event(&targets, event, manager->now, out);
 }
 
-static unsigned count_led_shards(const struct ow_shard_manager *manager)
-{
-    unsigned count = 0;
-    for (guint i = 0; i < manager->shards->len; i++)
-        if (ow_shard_is_led_here(shard_at(manager, i)))
-            count++;
-    return count;
-}
-
-/* The shards that this controller leads, for its heartbeats: struct ow_peer_shard. */
-static GArray *describe_led_shards(const struct ow_shard_manager *manager)
-{
-    GArray *led_shards = ow_peer_shards_new();
-    for (guint i = 0; i < manager->shards->len; i++) {
-        const struct ow_shard *shard = shard_at(manager, i);
-        const struct ow_peer_shard description = {
-            .name = (char *)shard->name,
-            .fencing_token = shard->status.fencing_token,
-            .serving = ow_failover_log_last(&shard->failovers)->phase == OW_FAILOVER_SERVING,
-            .machines = shard->status.machines,
-        };
-        if (ow_shard_is_led_here(shard))
-            ow_peer_shards_add(led_shards, &description);
-    }
-    return led_shards;
-}
-
 static void tick_membership(struct ow_shard_manager *manager, GPtrArray *out)
 {
-    g_autoptr(GArray) led_shards = describe_led_shards(manager);
+    g_autoptr(GArray) led_shards = ow_shards_describe_led(manager->shards);
     GPtrArray *messages = g_ptr_array_new();
     ow_membership_tick(manager->membership, manager->now, led_shards, messages);
     ow_shard_dispatch_messages(messages, out);
@@ -159,8 +132,8 @@
 static void set_candidacy(const struct ow_shard_manager *manager, const struct ow_shard *shard)
 {
     const char *self = manager->settings->controller_name;
-    unsigned rank =
-        ow_candidacy_compute_rank(manager->membership, self, count_led_shards(manager), shard->name);
+    unsigned rank = ow_candidacy_compute_rank(manager->membership, self, ow_shards_count_led(manager->shards),
+                                              shard->name);
     ow_core_set_candidacy(shard->core, ow_map_agreement_is_reached(manager->agreement),
                           rank * manager->sharding->candidacy_step_s);
 }
@@ -195,6 +168,15 @@
     ow_failover_log_update(&shard->failovers, shard->name, &observation, manager->now);
 }
 
+void ow_shard_manager_set_overload(struct ow_shard_manager *manager, double last_step_s)
+{
+    if (manager->core != NULL)
+        ow_core_set_overload(manager->core, last_step_s);
+    else
+        for (guint i = 0; i < manager->shards->len; i++)
+            ow_core_set_overload(shard_at(manager, i)->core, last_step_s);
+}
+
 GPtrArray *ow_shard_manager_step(struct ow_shard_manager *manager, double now, double time_of_day)
 {
     if (manager->core != NULL)
@@ -290,7 +272,7 @@
 const char *ow_shard_manager_successor(const struct ow_shard_manager *manager, const struct ow_shard *shard)
 {
     const char *self = manager->settings->controller_name;
-    const char *other =
-        ow_candidacy_find_successor(manager->membership, self, count_led_shards(manager), shard->name);
+    const char *other = ow_candidacy_find_successor(manager->membership, self,
+                                                    ow_shards_count_led(manager->shards), shard->name);
     return other != NULL ? other : self;
 }
--- a/src/sharding/shard_manager.h
+++ b/src/sharding/shard_manager.h
@@ -36,6 +36,10 @@
 
 /** Queues an event and takes ownership of it. */
 void ow_shard_manager_push(struct ow_shard_manager *manager, struct ow_event *event);
+/** Sets the duration of the last step if the process can't keep up with its input, or 0: see
+ * ow_core_set_overload().
+ */
+void ow_shard_manager_set_overload(struct ow_shard_manager *manager, double last_step_s);
 /** Handles the queued events and all timers that are due, like ow_core_step(): the caller owns the array and
  * its effects (struct ow_effect). */
 GPtrArray *ow_shard_manager_step(struct ow_shard_manager *manager, double now, double time_of_day);
