Three invariants are asserted before an answer or a launch leaves the core

Need: the incident's class is an action on knowledge that had become old, or a right that nobody confirmed in time.

Change: invariants.h checks, logs an error with fencing token, revision and age, counts, and lets the caller refuse: an answer after a read rests on a read that was sent after the question; a cancellation that is shown has been acknowledged; an attempt is launched only if the transaction with its record has been answered, by the recorder's own count and not by the attempt's state. The simulated cluster fails a test whose controllers have found a violation.

--- a/src/core/api/job_reply.c
+++ b/src/core/api/job_reply.c
@@ -1,6 +1,7 @@
 #include "core/api/job_reply.h"
 
 #include "core/core_state.h"
+#include "core/invariants.h"
 #include "model/effect.h"
 #include "model/http_status.h"
 #include "model/submission.h"
@@ -8,8 +9,24 @@
 /* Seconds after which a user should repeat a request that could not be handled (Retry-After). */
 enum { RETRY_AFTER_S = 1 };
 
+/* A cancellation is shown only once a leader that can still end the tasks has acknowledged it. */
+static bool may_be_shown(struct ow_core *core, const struct ow_job *job)
+{
+    const struct ow_invariant invariant = {
+        .name = "shown_cancellations_are_acknowledged",
+        .subject = job->id,
+    };
+    bool holds = job->state != OW_JOB_CANCELLED || job->is_cancellation_acknowledged;
+    return ow_invariant_check(core, holds, &invariant);
+}
+
 void ow_job_reply_send(struct ow_core *core, uint64_t request, int status, const struct ow_job *job)
 {
+    if (!may_be_shown(core, job)) {
+        ow_job_reply_retry(core, request, OW_ANSWER_RETRY_ACKNOWLEDGEMENT,
+                           "the leader has not acknowledged the cancellation yet");
+        return;
+    }
     struct ow_effect *effect = ow_effect_new(OW_EFFECT_JOB, request);
     bool is_over = ow_job_is_over(job);
     effect->status = status;
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -240,6 +240,11 @@
     return ow_election_fencing_token(core->election);
 }
 
+unsigned ow_core_invariant_violations(const struct ow_core *core)
+{
+    return core->invariant_violations;
+}
+
 void ow_core_status(const struct ow_core *core, struct ow_core_status *status)
 {
     *status = (struct ow_core_status){
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -57,6 +57,8 @@
 const char *ow_core_infeasible_reason(const struct ow_core *core, const struct ow_submission *submission);
 /** CPUs that the pending tasks of open jobs need, as far as known to this controller. */
 double ow_core_waiting_cpus(const struct ow_core *core);
+/** How many violated invariants this core has found (invariants.h); each is a fault of the program. */
+unsigned ow_core_invariant_violations(const struct ow_core *core);
 /** The fencing token under which this controller leads; 0: it does not. */
 uint64_t ow_core_fencing_token(const struct ow_core *core);
 
--- a/src/core/core_state.h
+++ b/src/core/core_state.h
@@ -69,7 +69,8 @@
     struct ow_type_discovery *type_discovery;
     struct ow_hello *hello;
 
-    /* For the log. */
+    /* For the log, and for tests. */
+    unsigned invariant_violations;             /**< invariants.c */
     struct ow_request_metrics request_metrics; /**< counted by job_reply.c */
     double status_log_at;                      /**< when the periodic lines are due: status_log.c */
 };
--- a/src/core/jobs/job_cache.c
+++ b/src/core/jobs/job_cache.c
@@ -71,6 +71,11 @@
     return job_cache->loading.is_done;
 }
 
+uint64_t ow_job_cache_revision(const struct ow_job_cache *job_cache)
+{
+    return job_cache->revision;
+}
+
 /* From the recorded time of acceptance, so that a job keeps its age, and the priority that comes with it,
    when all controllers restart. */
 static double age_s(const struct ow_core *core, double accepted_at)
@@ -141,8 +146,8 @@
         apply_changes(job_cache, &answer->store);
     else if (needs_full_read(answer->store.status))
         restart_load(job_cache, answer->store.status);
-    ow_refresh_waiters_answer(job_cache->refreshing, job_cache->core,
-                              has_succeeded ? OW_REFRESH_DONE : OW_REFRESH_FAILED);
+    ow_refresh_waiters_finish(job_cache->refreshing, job_cache->core, has_succeeded,
+                              job_cache->metrics.sent_at);
 }
 
 static void on_watch(void *owner, void *data, const struct ow_event *answer)
@@ -283,9 +288,8 @@
     struct ow_job_read_metrics *metrics = &job_cache->metrics;
     unsigned waiting =
         ow_refresh_waiters_count(job_cache->waiting) + ow_refresh_waiters_count(job_cache->refreshing);
-    double now = job_cache->core->now;
-    double oldest_s = MAX(ow_refresh_waiters_oldest_s(job_cache->waiting, now),
-                          ow_refresh_waiters_oldest_s(job_cache->refreshing, now));
+    double oldest_s = MAX(ow_refresh_waiters_oldest_s(job_cache->waiting, job_cache->core->now),
+                          ow_refresh_waiters_oldest_s(job_cache->refreshing, job_cache->core->now));
     if (waiting > 0 || !ow_job_read_metrics_is_empty(metrics))
         g_info("job table reads: revision=%" G_GUINT64_FORMAT
                " is_loaded=%d refreshes=%u failed_refreshes=%u "
--- a/src/core/jobs/refresh_waiters.h
+++ b/src/core/jobs/refresh_waiters.h
@@ -4,6 +4,8 @@
 #ifndef OW_CORE_JOBS_REFRESH_WAITERS_H
 #define OW_CORE_JOBS_REFRESH_WAITERS_H
 
+#include <stdbool.h>
+
 struct ow_core;
 struct ow_refresh_waiters;
 
@@ -31,4 +33,9 @@
 void ow_refresh_waiters_answer(struct ow_refresh_waiters *waiters, struct ow_core *core,
                                enum ow_refresh_result result);
 
+/** Calls all callers with the result of a read that was sent at `sent_at`. Answers from a read that was sent
+ * before a caller had asked for it could be older than one given before: they are refused (invariants.h). */
+void ow_refresh_waiters_finish(struct ow_refresh_waiters *waiters, struct ow_core *core, bool has_succeeded,
+                               double sent_at);
+
 #endif
--- a/src/core/leader/heartbeat_answer.c
+++ b/src/core/leader/heartbeat_answer.c
@@ -50,7 +50,7 @@
         return g_array_new(FALSE, FALSE, sizeof(struct ow_worker_command));
     if (!may_be_commanded(leader, machine, heartbeat))
         return ow_reconcile_cancelled(leader, heartbeat);
-    GArray *commands = ow_worker_commands_for(machine, NULL);
+    GArray *commands = ow_worker_commands_for(leader, machine, NULL);
     g_array_append_vals(commands, clears->data, clears->len);
     return commands;
 }
--- a/src/core/machines/direct_commands.c
+++ b/src/core/machines/direct_commands.c
@@ -136,7 +136,7 @@
     call->is_probe = needs_probe(machine);
     leader->probes += call->is_probe ? 1 : 0;
     machine->direct.is_in_flight = true;
-    effect->commands = ow_worker_commands_for(machine, machine->direct.launches);
+    effect->commands = ow_worker_commands_for(leader, machine, machine->direct.launches);
     effect->addr = g_strdup(machine->addr);
     effect->fencing_token = leader->fencing_token;
     effect->incarnation = MAX(machine->liveness.incarnation, 1);
--- a/src/sharding/shard_manager.c
+++ b/src/sharding/shard_manager.c
@@ -220,6 +220,16 @@
     return highest;
 }
 
+unsigned ow_shard_manager_invariant_violations(const struct ow_shard_manager *manager)
+{
+    if (manager->core != NULL)
+        return ow_core_invariant_violations(manager->core);
+    unsigned violations = 0;
+    for (guint i = 0; i < manager->shards->len; i++)
+        violations += ow_core_invariant_violations(shard_at(manager, i)->core);
+    return violations;
+}
+
 bool ow_shard_manager_resume(struct ow_shard_manager *manager, double paused_s, double now)
 {
     if (manager->core != NULL || paused_s < PAUSE_MIN_S)
--- a/src/sharding/shard_manager.h
+++ b/src/sharding/shard_manager.h
@@ -49,6 +49,8 @@
 bool ow_shard_manager_is_ready(const struct ow_shard_manager *manager);
 /** The highest fencing token of the shards that this controller leads; 0: it leads none. */
 uint64_t ow_shard_manager_fencing_token(const struct ow_shard_manager *manager);
+/** How many violated invariants the cores have found. */
+unsigned ow_shard_manager_invariant_violations(const struct ow_shard_manager *manager);
 /** Handles a pause of the process of `paused_s` seconds that ends now. Returns true if a lease may have
  * expired in it: the caller must then drop its unsent output. */
 bool ow_shard_manager_resume(struct ow_shard_manager *manager, double paused_s, double now);
--- a/tests/sim/sim_cluster.c
+++ b/tests/sim/sim_cluster.c
@@ -152,6 +152,9 @@
 {
     assert_string_equal(cluster->violations->str, "");
     assert_int_equal(cluster->oversized_txns, 0);
+    for (int i = 0; i < SIM_CONTROLLERS; i++)
+        if (cluster->controllers[i] != NULL)
+            assert_int_equal(ow_shard_manager_invariant_violations(cluster->controllers[i]), 0);
 }
 
 void sim_finish(struct sim_cluster *cluster)
