--- a/src/core/api/job_reply.c
+++ b/src/core/api/job_reply.c
@@ -15,6 +15,8 @@
     const struct ow_invariant invariant = {
         .name = "shown_cancellations_are_acknowledged",
         .subject = job->id,
+        .fencing_token = job->cancel_fencing_token,
+        .revision = job->mod_revision,
     };
     bool holds = job->state != OW_JOB_CANCELLED || job->is_cancellation_acknowledged;
     return ow_invariant_check(core, holds, &invariant);
--- a/src/core/jobs/job_cache.c
+++ b/src/core/jobs/job_cache.c
@@ -71,11 +71,6 @@
     return job_cache->loading.is_done;
 }
 
-uint64_t ow_job_cache_revision(const struct ow_job_cache *job_cache)
-{
-    return job_cache->revision;
-}
-
 /* From the recorded time of acceptance, so that a job keeps its age, and the priority that comes with it,
    when all controllers restart. */
 static double age_s(const struct ow_core *core, double accepted_at)
@@ -146,8 +141,10 @@
         apply_changes(job_cache, &answer->store);
     else if (needs_full_read(answer->store.status))
         restart_load(job_cache, answer->store.status);
-    ow_refresh_waiters_finish(job_cache->refreshing, job_cache->core, has_succeeded,
-                              job_cache->metrics.sent_at);
+    const struct ow_refresh refresh = {.sent_at = job_cache->metrics.sent_at,
+                                       .revision = answer->store.revision,
+                                       .has_succeeded = has_succeeded};
+    ow_refresh_waiters_finish(job_cache->refreshing, job_cache->core, &refresh);
 }
 
 static void on_watch(void *owner, void *data, const struct ow_event *answer)
--- a/src/core/jobs/job_cache.h
+++ b/src/core/jobs/job_cache.h
@@ -20,8 +20,6 @@
 void ow_job_cache_free(struct ow_job_cache *job_cache);
 /** Whether the whole table has been read and no change since has been missed. */
 bool ow_job_cache_is_loaded(const struct ow_job_cache *job_cache);
-/** The revision up to which the table has been read. */
-uint64_t ow_job_cache_revision(const struct ow_job_cache *job_cache);
 /** Calls `fn` after a read that begins later than this call, and then frees `data` with g_free(). Waiting
  * callers share one read. */
 void ow_job_cache_refresh(struct ow_job_cache *job_cache, ow_refreshed_fn fn, void *data);
--- a/src/core/jobs/refresh_waiters.c
+++ b/src/core/jobs/refresh_waiters.c
@@ -66,20 +66,22 @@
     }
 }
 
-static bool is_later_than_all(const struct ow_refresh_waiters *waiters, struct ow_core *core, double sent_at)
+static bool is_later_than_all(const struct ow_refresh_waiters *waiters, struct ow_core *core,
+                              const struct ow_refresh *refresh)
 {
     guint count = waiters->callers->len;
     double newest_at = count > 0 ? g_array_index(waiters->callers, struct waiter, count - 1).added_at : 0;
     const struct ow_invariant invariant = {
         .name = "answers_rest_on_a_later_read",
-        .age_s = newest_at - sent_at,
+        .revision = refresh->revision,
+        .age_s = newest_at - refresh->sent_at,
     };
-    return ow_invariant_check(core, newest_at <= sent_at, &invariant);
+    return ow_invariant_check(core, newest_at <= refresh->sent_at, &invariant);
 }
 
-void ow_refresh_waiters_finish(struct ow_refresh_waiters *waiters, struct ow_core *core, bool has_succeeded,
-                               double sent_at)
+void ow_refresh_waiters_finish(struct ow_refresh_waiters *waiters, struct ow_core *core,
+                               const struct ow_refresh *refresh)
 {
-    bool may_answer = has_succeeded && is_later_than_all(waiters, core, sent_at);
+    bool may_answer = refresh->has_succeeded && is_later_than_all(waiters, core, refresh);
     ow_refresh_waiters_answer(waiters, core, may_answer ? OW_REFRESH_DONE : OW_REFRESH_FAILED);
 }
--- a/src/core/jobs/refresh_waiters.h
+++ b/src/core/jobs/refresh_waiters.h
@@ -5,6 +5,7 @@
 #define OW_CORE_JOBS_REFRESH_WAITERS_H
 
 #include <stdbool.h>
+#include <stdint.h>
 
 struct ow_core;
 struct ow_refresh_waiters;
@@ -16,6 +17,13 @@
     OW_REFRESH_NOT_LOADED, /**< the whole table has not been read yet */
 };
 
+/** A read that has ended. */
+struct ow_refresh {
+    double sent_at;    /**< by the core's clock */
+    uint64_t revision; /**< of the store, up to which it has read */
+    bool has_succeeded;
+};
+
 /** Called with the result of a read. `data` is freed after the call. */
 typedef void (*ow_refreshed_fn)(struct ow_core *core, void *data, enum ow_refresh_result result);
 
@@ -33,9 +41,9 @@
 void ow_refresh_waiters_answer(struct ow_refresh_waiters *waiters, struct ow_core *core,
                                enum ow_refresh_result result);
 
-/** Calls all callers with the result of a read that was sent at `sent_at`. Answers from a read that was sent
- * before a caller had asked for it could be older than one given before: they are refused (invariants.h). */
-void ow_refresh_waiters_finish(struct ow_refresh_waiters *waiters, struct ow_core *core, bool has_succeeded,
-                               double sent_at);
+/** Calls all callers with the result of a read that has ended. Answers from a read that was sent before a
+ * caller had asked for it could be older than one given before: they are refused (invariants.h). */
+void ow_refresh_waiters_finish(struct ow_refresh_waiters *waiters, struct ow_core *core,
+                               const struct ow_refresh *refresh);
 
 #endif
--- a/src/core/machines/worker_commands.c
+++ b/src/core/machines/worker_commands.c
@@ -36,6 +36,7 @@
     const struct ow_invariant invariant = {
         .name = "launches_are_recorded",
         .subject = attempt->job->id,
+        .fencing_token = leader->fencing_token,
         .age_s = leader->core->now - attempt->placed_at,
     };
     return ow_invariant_check(leader->core, attempt->transaction_serial <= committed_serial, &invariant);
--- a/tests/cluster/test_invariants.c
+++ b/tests/cluster/test_invariants.c
@@ -48,7 +48,8 @@
     enum ow_refresh_result *target = &result;
     struct ow_refresh_waiters *waiters = ow_refresh_waiters_new();
     ow_refresh_waiters_add(waiters, store_result, g_memdup2(&target, sizeof target), asked_at);
-    ow_refresh_waiters_finish(waiters, core, true, sent_at);
+    const struct ow_refresh refresh = {.sent_at = sent_at, .has_succeeded = true};
+    ow_refresh_waiters_finish(waiters, core, &refresh);
     ow_refresh_waiters_free(waiters);
     return result;
 }
