Soak: seeded, overlapping faults and users' acts on real controllers, checked from outside

Need: the loopback test injects one fault at a time into a leader, and its users ask one controller at random. The incident came of troubles that overlap.

Stand-in workers speak the workers' protocol in the process of the test. The stand-in state service loses answers, writes late and has outages. In a fleet without shards, whose connections have no source address of their own, ports identify the controllers.

All settings are now written before any controller starts. An empty response to a user's request raised an error that ended that user; it counts as no answer now.

--- a/tests/loopback/checker.py
+++ b/tests/loopback/checker.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Any, Optional
 
+import answer_checks
 from events import Event, read_events, time_of
 
 # Allows for the supervisor's polling interval, the delivery of a command, and inexact record times.
@@ -145,10 +146,17 @@
                 yield f"stale order: {command} after its controller was thawed"
 
 
-def check(directory: str, cancel_s: float) -> list[str]:
-    """All violations, each as a message that starts with its kind."""
+def check(directory: str, cancel_s: float, team_limits: Optional[dict[str, float]] = None) -> list[str]:
+    """All violations, each as a message that starts with its kind. `team_limits`: CPUs; 0: no limit."""
     events, machines = load(directory)
     return [
+        *answer_checks.check_answer_order(events),
+        *answer_checks.check_uncancelled(events),
+        *answer_checks.check_answer_times(events),
+        *answer_checks.check_starts(events, machines),
+        *answer_checks.check_starts_after_end(events, machines),
+        *answer_checks.check_team_limits(events, machines, team_limits or {}),
+        *answer_checks.check_controllers(events),
         *check_tokens(events, machines),
         *check_shards(events, machines),
         *check_attempts(machines),
--- a/tests/loopback/cloud.py
+++ b/tests/loopback/cloud.py
@@ -1,6 +1,7 @@
 """A simulated cloud that rents out machines, each of them an agent process on a loopback address."""
 
 import time
+from collections.abc import Callable
 from typing import Any
 
 from http_service import HttpError, HttpService, Query
@@ -36,6 +37,8 @@
         self.zones = zones
         self.agent_options = agent_options
         self.machines: dict[str, Machine] = {}
+        # Creates a machine from its name, address, type and zone.
+        self.new_machine: Callable[[str, str, str, str], Machine] = Machine
         self.rentals: dict[str, list[str]] = {}  # id of the request -> names of machines
         self.capacity = 0
         self.refuses_deletions = False
@@ -51,7 +54,7 @@
         self.created_count += 1
         subnet, host = divmod(self.created_count, MACHINES_PER_SUBNET)
         address = f"{self.prefix}.{FIRST_SUBNET + subnet}.{1 + host}"
-        machine = Machine(f"n-{self.created_count:06}", address, machine_type, zone)
+        machine = self.new_machine(f"n-{self.created_count:06}", address, machine_type, zone)
         self.machines[machine.name] = machine
         await self.network.relay(machine.address, AGENT_PORT, AGENT_PORT + 1)
         machine.start_agent(self.agent_options)
--- a/tests/loopback/cluster.py
+++ b/tests/loopback/cluster.py
@@ -29,6 +29,7 @@
 RESERVATION_PORT = 7000
 FIRST_NETWORK, NETWORKS = 20, 200
 LEADER_KEY = "coordinator"
+INVARIANT_PHRASE = "invariant violated"  # in the log of a controller
 DEFAULT_SHARD = "default"  # name of the only shard if no shards are configured
 
 
@@ -82,7 +83,7 @@
         self.network = Network()
         self.state = StateService()
         self.controllers = [
-            Controller(f"controller-{i}", settings.controller_address(i), settings.zone_of(i), directory)
+            Controller(f"controller-{i}", settings.controller_address(i), settings.zone_of(i), directory, i)
             for i in range(controllers)
         ]
         endpoints = {c.name: f"{c.address}:{FRONT_PORT}" for c in self.controllers}
@@ -108,10 +109,24 @@
             await self.network.relay(controller.address, FRONT_PORT, FRONT_PORT + 1)
             await self.network.relay(controller.address, PEER_PORT, PEER_PORT + 1)
             self.write_settings(controller)
+            if self.settings.shards is None:
+                await self.identify_by_port(controller)
+        # All settings are written by now: one file is shared.
+        for controller in self.controllers:
             self.start_controller(controller)
         for machine_type, zone in machines:
             await self.cloud.add(machine_type, zone)
 
+    async def identify_by_port(self, controller: Controller) -> None:
+        """Gives a controller ports of its own at the state service and at its peers: only in a divided fleet
+        do its connections come from its own address."""
+        offset = controller.port_offset
+        await self.state.http.start(self.settings.state_address(), STATE_PORT + offset, controller.address)
+        for peer in self.controllers:
+            if peer is not controller:
+                port = PEER_PORT + offset
+                await self.network.relay(peer.address, port, PEER_PORT + 1, controller.address)
+
     def write_settings(self, controller: Controller) -> None:
         """Writes the settings files of a controller."""
         peers = [other for other in self.controllers if other is not controller]
@@ -137,6 +152,16 @@
 
     # ---- controllers ----
 
+    def record_ends(self) -> None:
+        """Records controllers that have ended by themselves, and invariants that were found violated."""
+        for controller in self.controllers:
+            if controller.is_running() and controller.process.poll() is not None:
+                self.record(
+                    "ended-by-itself", controller=controller.name, status=controller.process.returncode
+                )
+            for line in controller.log_lines(INVARIANT_PHRASE):
+                self.record("invariant-violated", controller=controller.name, line=line)
+
     def start_controller(self, controller: Controller) -> None:
         """Starts a controller, which must not be running."""
         controller.start(self.controller_program)
--- a/tests/loopback/controller.py
+++ b/tests/loopback/controller.py
@@ -6,13 +6,17 @@
 from typing import IO, Optional
 
 
+FIRST_PORT_OFFSET = 10
+
+
 class Controller:
     """The identity and files of a controller, and its process while it runs."""
 
-    def __init__(self, name: str, address: str, zone: str, directory: str) -> None:
+    def __init__(self, name: str, address: str, zone: str, directory: str, number: int) -> None:
         self.name = name
         self.address = address
         self.zone = zone
+        self.port_offset = FIRST_PORT_OFFSET + number  # of the ports that only this controller connects to
         self.is_frozen = False
         self.settings_file = os.path.join(directory, name + ".toml")
         self.operators_file = os.path.join(directory, "operators.xml")
@@ -38,6 +42,11 @@
         self.log = open(self.log_file, "ab")
         self.running = subprocess.Popen(command, stdin=subprocess.DEVNULL, stderr=self.log, env=environment)
 
+    def log_lines(self, phrase: str) -> list[str]:
+        """The lines of the log that contain a phrase."""
+        with open(self.log_file, encoding="utf-8", errors="replace") as file:
+            return [line.strip() for line in file if phrase in line]
+
     def kill(self) -> None:
         """Kills the process and waits until it has exited."""
         self.process.kill()
--- a/tests/loopback/http_messages.py
+++ b/tests/loopback/http_messages.py
@@ -22,9 +22,12 @@
     return f"{first_line}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
 
 
-async def exchange(address: str, port: int, method: str, path: str, body: Any) -> tuple[int, Any]:
+async def exchange(
+    address: str, port: int, method: str, path: str, body: Any, source: Optional[str]
+) -> tuple[int, Any]:
     """Sends a request over a new connection; returns status and body of the response."""
-    reader, writer = await asyncio.open_connection(address, port)
+    local_address = (source, 0) if source is not None else None
+    reader, writer = await asyncio.open_connection(address, port, local_addr=local_address)
     try:
         text = json.dumps(body).encode() if body is not None else b""
         writer.write(encode_message(f"{method} {path} HTTP/1.1", text))
@@ -35,10 +38,17 @@
 
 
 async def request(
-    address: str, port: int, method: str, path: str, body: Optional[Any] = None, timeout: float = 5
+    address: str,
+    port: int,
+    method: str,
+    path: str,
+    body: Optional[Any] = None,
+    timeout: float = 5,
+    source: Optional[str] = None,
 ) -> tuple[int, Any]:
-    """Sends a request; returns status and body of the response, or NO_ANSWER and None on a failure."""
+    """Sends a request from the `source` address; returns status and body of the response, or NO_ANSWER and
+    None on a failure."""
     try:
-        return await asyncio.wait_for(exchange(address, port, method, path, body), timeout)
-    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+        return await asyncio.wait_for(exchange(address, port, method, path, body, source), timeout)
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError, IndexError):
         return NO_ANSWER, None
--- a/tests/loopback/http_service.py
+++ b/tests/loopback/http_service.py
@@ -24,6 +24,10 @@
         self.body = body if body is not None else {"error": "refused"}
 
 
+class NoResponse(Exception):
+    """The connection is closed without a response."""
+
+
 class AccessRules:
     """Per client address: whether requests are served, refused, delayed or left unanswered."""
 
@@ -63,24 +67,34 @@
         self.handler = handler
         self.rules = AccessRules()
         self.request_counts: dict[str, int] = {}  # by client
-        self.server: Optional[asyncio.AbstractServer] = None
+        self.servers: list[asyncio.AbstractServer] = []
+
+    async def start(self, address: str, port: int, known_client: Optional[str] = None) -> None:
+        """Starts to listen. `known_client` is the address of the only client of that port; by default the
+        source address identifies the client."""
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await self.serve(known_client or writer.get_extra_info("peername")[0], reader, writer)
 
-    async def start(self, address: str, port: int) -> None:
-        """Starts to listen."""
-        self.server = await asyncio.start_server(self.serve, address, port, backlog=LISTEN_BACKLOG)
+        self.servers.append(await asyncio.start_server(serve, address, port, backlog=LISTEN_BACKLOG))
 
     def stop(self) -> None:
         """Stops listening."""
-        if self.server is not None:
-            self.server.close()
+        for server in self.servers:
+            server.close()
 
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, client: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serves the requests of a connection until it is closed."""
-        client = writer.get_extra_info("peername")[0]
         try:
             while await self.serve_request(client, reader, writer):
                 pass
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
+        except (
+            ConnectionError,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+            ValueError,
+            NoResponse,
+        ):
             pass
         finally:
             writer.close()
--- a/tests/loopback/network.py
+++ b/tests/loopback/network.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from typing import Optional
 
 LISTEN_BACKLOG = 512
 POLL_S = 0.02
@@ -36,21 +37,29 @@
         """Restores all links."""
         self.cuts.clear()
 
-    async def relay(self, address: str, public_port: int, real_port: int) -> None:
-        """Relays connections from the public port of an address to the real port of its process."""
+    async def relay(
+        self, address: str, public_port: int, real_port: int, known_client: Optional[str] = None
+    ) -> None:
+        """Relays connections from the public port of an address to the real port of its process.
+        `known_client` is the address of the only client of that port; by default the source address
+        identifies the client."""
 
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            client = writer.get_extra_info("peername")[0]
+            client = known_client or writer.get_extra_info("peername")[0]
             await self.wait_until_open((client, address))
             try:
                 upstream_reader, upstream_writer = await asyncio.open_connection(address, real_port)
             except OSError:
                 writer.transport.abort()
                 return
-            await asyncio.gather(
-                self.forward((client, address), reader, upstream_writer),
-                self.forward((address, client), upstream_reader, writer),
-            )
+            try:
+                await asyncio.gather(
+                    self.forward((client, address), reader, upstream_writer),
+                    self.forward((address, client), upstream_reader, writer),
+                )
+            except asyncio.CancelledError:
+                upstream_writer.transport.abort()
+                writer.transport.abort()
 
         server = await asyncio.start_server(serve, address, public_port, backlog=LISTEN_BACKLOG)
         self.relays.append(server)
--- a/tests/loopback/run.py
+++ b/tests/loopback/run.py
@@ -1,11 +1,16 @@
 """Runs a loopback cluster with seeded random jobs and controller faults, and checks its history.
 
     python3 tests/loopback/run.py --directory DIR --controller PROGRAM --agent PROGRAM
+
+With --soak-s, the faults and the users' acts are a plan drawn from the seed: overlapping faults of
+controllers, the state service, links and stand-in workers. A seed gives the same plan. DIR then holds
+plan.json, the events, the histories of the workers, and the log of each controller.
 """
 
 import argparse
 import asyncio
 import json
+import os
 import random
 import sys
 import time
@@ -13,7 +18,13 @@
 import checker
 from cluster import Cluster, Programs
 from faults import FaultInjector
+from machine import Machine
+from plan import draw_plan
+from planned_faults import PlannedFaults
+from planned_users import PlannedUsers
 from settings import Settings
+from standin_tasks import Gangs
+from standin_worker import StandInWorker
 from users import Users
 
 SHARDS = [
@@ -23,6 +34,8 @@
 ]
 ZONES = ["a", "b", "c"]
 ELECTION_TIMEOUT_S, FINISH_TIMEOUT_S = 40, 150
+ASK_TIMEOUT_S = 80  # above the time within which every question is answered
+SOAK_TEAM_LIMITS = {"ops": 0.0, "lab": 12.0}
 POLL_S = 0.1
 VIEW_TIMEOUT_S = 0.5
 
@@ -42,10 +55,14 @@
         shards = "".join(SHARDS[: options.shards]) if options.shards else None
         zones = ZONES[: max(options.shards, 1)]
         programs = Programs(options.controller, options.agent)
-        self.cluster = Cluster(options.directory, programs, options.controllers, Settings(zones, shards))
+        settings = Settings(zones, shards)
+        if options.soak_s:
+            settings.team_limits = SOAK_TEAM_LIMITS
+        self.cluster = Cluster(options.directory, programs, options.controllers, settings)
         self.users = Users(self.cluster, self.random)
         self.faults = FaultInjector(self.cluster, self.random)
         self.machines = [("m8", zones[i % len(zones)]) for i in range(options.agents)]
+        self.gangs = Gangs()
 
     async def submit_jobs(self) -> None:
         """Submits random jobs until it is cancelled."""
@@ -103,6 +120,33 @@
             await self.wait_for_leaders()
             await asyncio.sleep(self.options.rest_s)
 
+    def new_standin(self, name: str, address: str, machine_type: str, zone: str) -> Machine:
+        """Creates a stand-in worker in place of an agent."""
+        return StandInWorker(name, address, machine_type, zone, self.cluster.settings.workers, self.gangs)
+
+    async def soak(self) -> list[str]:
+        """Executes the plan of the seed; returns the ids of jobs that are not over at its end."""
+        settings = self.cluster.settings
+        plan = draw_plan(
+            self.options.seed, self.options.soak_s, self.options.controllers, settings.workers["cancel_s"]
+        )
+        self.cluster.cloud.new_machine = self.new_standin
+        self.users = users = PlannedUsers(self.cluster, self.random)
+        faults = PlannedFaults(self.cluster, self.random)
+        await self.cluster.start(self.machines)
+        with open(os.path.join(self.options.directory, "plan.json"), "w", encoding="utf-8") as file:
+            file.write(plan.to_json())
+        await self.wait_for_leaders()
+        users.running_jobs = [asyncio.create_task(users.run_planned(job)) for job in plan.jobs]
+        await asyncio.gather(*(faults.carry_out(fault) for fault in plan.faults))
+        faults.end_all()
+        self.cluster.record("troubles-over")
+        unfinished = await users.finish(FINISH_TIMEOUT_S)
+        await users.ask_about_all(ASK_TIMEOUT_S)
+        self.cluster.record_ends()
+        await self.cluster.stop()
+        return unfinished
+
     async def execute(self) -> list[str]:
         """Executes the run; returns the ids of jobs that are not over at its end."""
         await self.cluster.start(self.machines)
@@ -133,6 +177,7 @@
     )
     parser.add_argument("--faults", type=int, default=3)
     parser.add_argument("--kinds", nargs="*")
+    parser.add_argument("--soak-s", type=float, default=0, help="length of the plan; 0: faults one by one")
     parser.add_argument("--fault-s", type=float, nargs=2, default=(6, 12))
     parser.add_argument("--rest-s", type=float, default=4)
     parser.add_argument("--quiet-s", type=float, default=3)
@@ -149,8 +194,9 @@
     """Executes the run, checks its history and prints a summary."""
     options = parse_options()
     run = Run(options)
-    unfinished = asyncio.run(run.execute())
-    violations = checker.check(options.directory, run.cluster.settings.workers["cancel_s"])
+    unfinished = asyncio.run(run.soak() if options.soak_s else run.execute())
+    settings = run.cluster.settings
+    violations = checker.check(options.directory, settings.workers["cancel_s"], settings.team_limits)
     summary = {
         "seed": options.seed,
         "jobs": len(run.users.states),
--- a/tests/loopback/settings.py
+++ b/tests/loopback/settings.py
@@ -20,6 +20,7 @@
     peer_port: int = PEER_PORT  # PEER_PORT + 1 bypasses the relays
     leader_lease_s: float = 2.0
     heartbeat_s: float = 0.25
+    team_limits: dict[str, float] = field(default_factory=lambda: {"ops": 0.0})  # CPUs; 0: no limit
     workers: dict[str, float] = field(
         default_factory=lambda: {
             "report_s": 1.0,
@@ -47,13 +48,30 @@
         return self.zones[number % len(self.zones)]
 
 
-def peer_section(controller: Controller, settings: Settings) -> str:
-    """The section for a controller in its peers' settings."""
+def port_offset(controller: Controller, settings: Settings) -> int:
+    """What is added to the ports to which a controller connects, where they identify it."""
+    return controller.port_offset if settings.shards is None else 0
+
+
+def peer_section(peer: Controller, controller: Controller, settings: Settings) -> str:
+    """The section for a peer in a controller's settings."""
     return f"""
 [[others]]
-host_name = "{controller.name}"
-area = "{controller.zone}"
-endpoint = "{controller.address}:{settings.peer_port}"
+host_name = "{peer.name}"
+area = "{peer.zone}"
+endpoint = "{peer.address}:{settings.peer_port + port_offset(controller, settings)}"
+"""
+
+
+def team_section(name: str, limit: float) -> str:
+    """The section for a team in the platform's settings."""
+    return f"""
+[[params.teams]]
+name = "{name}"
+cpus = 0
+cpus_max = {limit}
+gpus = 0
+gpus_max = 0
 """
 
 
@@ -65,20 +83,15 @@
 area = "{controller.zone}"
 front = "{controller.address}:{FRONT_PORT + 1}"
 peer_listen = "{controller.address}:{PEER_PORT + 1}"
-{"".join(peer_section(peer, settings) for peer in peers)}
+{"".join(peer_section(peer, controller, settings) for peer in peers)}
 [services]
 cloud = "{settings.cloud_address()}:{CLOUD_PORT}"
-state = "{settings.state_address()}:{STATE_PORT}"
+state = "{settings.state_address()}:{STATE_PORT + port_offset(controller, settings)}"
 
 [params]
 zones = {json.dumps(settings.zones)}
 
-[[params.teams]]
-name = "ops"
-cpus = 0
-cpus_max = 0
-gpus = 0
-gpus_max = 0
+{"".join(team_section(name, limit) for name, limit in settings.team_limits.items())}
 
 [params.workers]
 {workers}
--- a/tests/loopback/state_service.py
+++ b/tests/loopback/state_service.py
@@ -4,13 +4,14 @@
 import time
 from typing import Any
 
-from http_service import HttpError, HttpService, Query
+from http_service import HttpError, HttpService, NoResponse, Query
 from state_store import Change, LoggedChange, StateStore
 
 PAGE_MAX = 1000
 POLL_S = 0.05
 EXPIRY_POLL_S = 0.02
 WATCH_POLL_S = 0.5
+LATE_WRITE_S = 3.0
 
 Body = dict[str, Any]
 
@@ -28,6 +29,11 @@
     def __init__(self) -> None:
         self.store = StateStore()
         self.changed = asyncio.Condition()
+        self.has_outage = False
+        self.lost_answers: set[str] = set()  # clients whose transactions are carried out and not answered
+        self.late_writes: set[
+            str
+        ] = set()  # clients whose transactions are carried out late, and not answered
         self.http = HttpService(self.handle)
 
     async def start(self, address: str, port: int) -> None:
@@ -35,10 +41,26 @@
         await self.http.start(address, port)
         asyncio.get_running_loop().create_task(self.expire_leases())
 
+    def begin_outage(self) -> None:
+        """Refuses all requests; open watches wait, and no lease ends."""
+        self.has_outage = True
+
+    def end_outage(self) -> None:
+        """Serves requests again; every lease has its full time."""
+        if not self.has_outage:
+            return
+        self.has_outage = False
+        for lease in list(self.store.leases):
+            self.store.renew_lease(lease)
+
+    def is_blocked(self, client: str) -> bool:
+        """Whether requests of a client are refused or left unanswered."""
+        return self.has_outage or self.http.rules.blocks(client)
+
     async def expire_leases(self) -> None:
         """Ends leases as they expire."""
         while True:
-            for lease in self.store.expired_leases():
+            for lease in [] if self.has_outage else self.store.expired_leases():
                 await self.end_lease(lease)
             await asyncio.sleep(EXPIRY_POLL_S)
 
@@ -57,8 +79,10 @@
 
     async def handle(self, client: str, method: str, path: str, query: Query, body: Any) -> Body:
         """Handles a request."""
+        if self.has_outage:
+            raise HttpError(503)
         if path == "/txn":
-            return await self.commit(body)
+            return await self.handle_transaction(client, body)
         if path == "/keys":
             return self.list_keys(query)
         if path.startswith("/keys/"):
@@ -90,6 +114,24 @@
         pairs = [self.describe(key) for key in keys[:limit]]
         return {"pairs": pairs, "has_next": len(keys) > limit, "tide": self.store.revision}
 
+    async def handle_transaction(self, client: str, body: Body) -> Body:
+        """Carries out a transaction, late or without an answer if that is set for the client."""
+        if client in self.late_writes:
+            asyncio.get_running_loop().create_task(self.commit_late(body))
+            raise NoResponse()
+        answer = await self.commit(body)
+        if client in self.lost_answers:
+            raise NoResponse()
+        return answer
+
+    async def commit_late(self, body: Body) -> None:
+        """Carries out a transaction after a delay; nobody learns of its result."""
+        await asyncio.sleep(LATE_WRITE_S)
+        try:
+            await self.commit(body)
+        except HttpError:
+            pass
+
     async def commit(self, body: Body) -> Body:
         """Handles a transaction: applies all changes if all conditions hold, otherwise none."""
         failed = [c["k"] for c in body.get("if", []) if self.store.version(c["k"]) != c["mark"]]
@@ -120,7 +162,7 @@
         while True:
             # While the client is blocked, its watch must hang: an empty answer would mean that nothing
             # has changed.
-            while self.http.rules.blocks(client):
+            while self.is_blocked(client):
                 await asyncio.sleep(POLL_S)
             found = self.store.changes_since(prefix, since)
             left = deadline - time.monotonic()
