--- a/tests/loopback/planned_users.py
+++ b/tests/loopback/planned_users.py
@@ -1,6 +1,6 @@
 """Users who carry out the jobs of a plan (plan.py): they repeat submissions, ask at all controllers within
-milliseconds, and cancel, also at the end of a job and twice. Every answer is recorded with the times of question
-and answer."""
+milliseconds, and cancel, also at the end of a job and twice. Every answer is recorded with the times of
+question and answer."""
 
 import asyncio
 import random
--- a/tests/loopback/test_answer_checks.py
+++ b/tests/loopback/test_answer_checks.py
@@ -1,5 +1,5 @@
-"""Tests that the checks of a soak run find an injected violation of each kind, and none in what is allowed; and
-that a seed gives the same plan."""
+"""Tests that the checks of a soak run find an injected violation of each kind, and none in what is allowed;
+and that a seed gives the same plan."""
 
 import unittest
 from collections.abc import Iterable
