Checker: the result of one task completes its gang

Traced by the histories: a gang of three began at 11.31 s and was to run for 2.55 s. The machine of task 2, cut off, lost its lease at 13.73 s; the two others completed at 13.93 s, within gang_peer_s of that loss, and the job was told as done. The protocol allows it: the tasks of a gang complete together, "if one task is done, every one is". The check asked each task for a result of its own.

Change: a gang's task without a result counts if it began in the attempt of which another task has one. Arrays, and gangs whose result is of another attempt, are reported as before; each has a test.

--- a/tests/loopback/checker.py
+++ b/tests/loopback/checker.py
@@ -107,10 +107,22 @@
             yield f"outlived its cancellation: {event['task']} on {event['machine']} never ended"
 
 
+def completed_gang_tasks(machines: list[Event]) -> set[str]:
+    """The tasks that ran in an attempt of which another task of their gang has a result: by the protocol the
+    tasks of a gang complete together. The machine of such a task may lose its lease, and with it the result, in
+    the moment in which the others complete."""
+    results = {
+        (job_of(e), e["attempt"]) for e in machines if e["event"] == "exited" and e["cause"] == CAUSE_DONE
+    }
+    begun = events_named(machines, "task-begins")
+    return {event["task"] for event in begun if (job_of(event), event["attempt"]) in results}
+
+
 def check_jobs(events: list[Event], machines: list[Event]) -> Iterator[str]:
     """Every accepted job is over at the end, was never unknown to a controller, and is done only if all its
     tasks succeeded."""
     results = {e["task"] for e in events_named(machines, "exited") if e["cause"] == CAUSE_DONE}
+    gang_results = results | completed_gang_tasks(machines)
     over = {e["job"]: e["stance"] for e in events_named(events, "over", "confirmed")}
     for event in events:
         if event["event"] == "forgotten":
@@ -121,7 +133,8 @@
         if job not in over:
             yield f"lost: {job} is not over"
         elif over[job] == "done":
-            missing = [i for i in range(event["tasks"]) if f"{job}/{i}" not in results]
+            counted = gang_results if event["kind"] == "ensemble" else results
+            missing = [i for i in range(event["tasks"]) if f"{job}/{i}" not in counted]
             if missing:
                 yield f"not done: {job} has no result of its tasks {missing}"
 
--- a/tests/loopback/test_checker.py
+++ b/tests/loopback/test_checker.py
@@ -124,6 +124,30 @@
         machines = [event for event in valid_history() if event["event"] != "exited"]
         self.assert_violations("not done", machines)
 
+    def gang_events(self, kind: str) -> list[Event]:
+        """The users' events, with a job of two tasks that is done."""
+        job = {"t": 3, "event": "accepted", "job": "run-3", "tasks": 2, "kind": kind}
+        return LEADERS + USERS + [job, {"t": 9, "event": "over", "job": "run-3", "stance": "done"}]
+
+    def gang_history(self, other_attempt: int = 1) -> list[Event]:
+        """A task with a result, and one that ends without a result in an attempt of this number."""
+        return valid_history() + [
+            task(5, "m-1", "task-begins", "run-3/0"),
+            task(5, "m-2", "task-begins", "run-3/1", other_attempt),
+            task(6.9, "m-2", "task-ended", "run-3/1", other_attempt),
+            task(7, "m-1", "task-ended", "run-3/0"),
+            task(7.1, "m-1", "exited", "run-3/0", cause=checker.CAUSE_DONE),
+        ]
+
+    def test_gang_completes_with_the_result_of_one_task(self) -> None:
+        self.assertEqual(self.check(self.gang_history(), self.gang_events("ensemble")), [])
+
+    def test_array_does_not_complete_with_the_result_of_one_task(self) -> None:
+        self.assert_violations("not done", self.gang_history(), self.gang_events("batch"))
+
+    def test_gang_does_not_complete_with_the_result_of_another_attempt(self) -> None:
+        self.assert_violations("not done", self.gang_history(2), self.gang_events("ensemble"))
+
     def test_command_of_a_thawed_controller(self) -> None:
         events = LEADERS + USERS + [{"t": 25, "event": "thawed", "controller": "controller-0"}]
         late = [command_batch(25.2, "m-1", 5, accepted=False, via="answer")]
