--- a/tests/loopback/checker.py
+++ b/tests/loopback/checker.py
@@ -109,8 +109,8 @@
 
 def completed_gang_tasks(machines: list[Event]) -> set[str]:
     """The tasks that ran in an attempt of which another task of their gang has a result: by the protocol the
-    tasks of a gang complete together. The machine of such a task may lose its lease, and with it the result, in
-    the moment in which the others complete."""
+    tasks of a gang complete together. The machine of such a task may lose its lease, and with it the result,
+    in the moment in which the others complete."""
     results = {
         (job_of(e), e["attempt"]) for e in machines if e["event"] == "exited" and e["cause"] == CAUSE_DONE
     }
@@ -149,8 +149,8 @@
 
 
 def check_stale_orders(events: list[Event], machines: list[Event], is_divided: bool) -> Iterator[str]:
-    """A controller whose term ended while it was frozen sends nothing under the old token after its thaw. In a
-    fleet without shards it may, for it does not check its lease; but no machine accepts that."""
+    """A controller whose term ended while it was frozen sends nothing under the old token after its thaw. In
+    a fleet without shards it may, for it does not check its lease; but no machine accepts that."""
     ended = list(ended_terms(events))
     for thaw in events_named(events, "thawed"):
         stale = {token for leader, token, end in ended if leader == thaw["controller"] and end < thaw["t"]}
