Soak: a stand-in worker ends even if its cancellation is missed

In Python before 3.12 a task that is cancelled while asyncio.wait_for() returns may go on, and a worker's reports had no other end.

Change: the loop of reports ends with the worker.

--- a/tests/loopback/standin_worker.py
+++ b/tests/loopback/standin_worker.py
@@ -55,6 +55,7 @@
         self.directory = ""
         self.http = HttpService(self.handle)
         self.running: Optional["asyncio.Task[None]"] = None
+        self.has_ended = False
 
     def record(self, event: str, **members: Any) -> None:
         """Records an event of the worker."""
@@ -71,6 +72,7 @@
 
     def kill_agent(self) -> None:
         """Ends the worker with its tasks, and writes its history."""
+        self.has_ended = True
         if self.running is not None:
             self.running.cancel()
         self.http.stop()
@@ -87,7 +89,8 @@
         await self.http.start(self.address, AGENT_PORT + 1)
         advancing = asyncio.get_running_loop().create_task(self.advance())
         try:
-            while True:
+            # A cancelled wait_for() may return as if it had not been cancelled, so a cancellation can be missed.
+            while not self.has_ended:
                 await self.report()
                 await self.wait_for_next_report()
         finally:
