--- a/tests/loopback/standin_worker.py
+++ b/tests/loopback/standin_worker.py
@@ -89,7 +89,7 @@
         await self.http.start(self.address, AGENT_PORT + 1)
         advancing = asyncio.get_running_loop().create_task(self.advance())
         try:
-            # A cancelled wait_for() may return as if it had not been cancelled, so a cancellation can be missed.
+            # A cancelled wait_for() may return as if it had not been cancelled: the cancellation is missed.
             while not self.has_ended:
                 await self.report()
                 await self.wait_for_next_report()
