Loopback: the stand-in state service wakes its watches without a lock

Traced by listing the tasks left after the cancellation of all: watches in asyncio.Condition.wait(), each cancelled while it acquired the condition's lock anew, which nobody releases then. The earlier loopback tests use the same service.

Change: an event for the next change in place of the condition; it has no lock.

--- a/tests/loopback/state_service.py
+++ b/tests/loopback/state_service.py
@@ -28,7 +28,7 @@
 
     def __init__(self) -> None:
         self.store = StateStore()
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()  # of the next change
         self.has_outage = False
         self.lost_answers: set[str] = set()  # clients whose transactions are carried out and not answered
         self.late_writes: set[
@@ -73,8 +73,8 @@
     async def apply(self, changes: list[Change]) -> int:
         """Applies the changes, wakes the watches, and returns the new revision."""
         revision = self.store.apply(changes)
-        async with self.changed:
-            self.changed.notify_all()
+        self.changed.set()
+        self.changed = asyncio.Event()
         return revision
 
     async def handle(self, client: str, method: str, path: str, query: Query, body: Any) -> Body:
@@ -168,8 +168,7 @@
             left = deadline - time.monotonic()
             if found or left <= 0:
                 return {"tide": self.store.revision, "log": [describe_change(change) for change in found]}
-            async with self.changed:
-                try:
-                    await asyncio.wait_for(self.changed.wait(), min(left, WATCH_POLL_S))
-                except asyncio.TimeoutError:
-                    pass
+            try:
+                await asyncio.wait_for(self.changed.wait(), min(left, WATCH_POLL_S))
+            except asyncio.TimeoutError:
+                pass
