Shards: nothing leaves under a lease that the store no longer has

Cause: since the renewal after a pause leaves at once, and its answer, 404, arrives together with the heartbeats that waited. The core answers heartbeats before it handles the reply, and the lease guard took any reply after the pause for contact with the store: state expired, in which answers may be sent.

Change: a reply that the lease is gone makes the guard unproven until a lease is obtained, so that nothing is sent.

--- a/src/sharding/lease_guard.c
+++ b/src/sharding/lease_guard.c
@@ -6,10 +6,12 @@
 /* Safety margin beyond clock drift: upper bound of the time from the check until the effect is on the wire.
  */
 static const double MARGIN_S = 0.1;
+/* A time before any other. */
+static const double NEVER = -1;
 
 void ow_lease_guard_init(struct ow_lease_guard *guard, double lease_s)
 {
-    *guard = (struct ow_lease_guard){.lease_s = lease_s, .answered_sent_at = -1};
+    *guard = (struct ow_lease_guard){.lease_s = lease_s, .answered_sent_at = NEVER};
 }
 
 void ow_lease_guard_note_request(struct ow_lease_guard *guard, uint64_t tag, double now)
@@ -18,11 +20,23 @@
     guard->renewal_sent_at = now;
 }
 
+/* The store no longer has the lease, so another controller may lead. Until the core has handled the reply it
+   still answers heartbeats. */
+static void lose_lease(struct ow_lease_guard *guard)
+{
+    guard->held_until = 0;
+    guard->answered_sent_at = NEVER;
+}
+
 void ow_lease_guard_note_reply(struct ow_lease_guard *guard, uint64_t tag, int status)
 {
     if (tag != guard->renewal_tag || status == OW_HTTP_STATUS_NONE)
         return;
     guard->renewal_tag = 0;
+    if (status == OW_HTTP_STATUS_NOT_FOUND) {
+        lose_lease(guard);
+        return;
+    }
     /* The reply may have waited in the socket during a pause, so it proves contact with the store only at
        the time its request was sent. */
     guard->answered_sent_at = guard->renewal_sent_at;
--- a/src/sharding/lease_guard.h
+++ b/src/sharding/lease_guard.h
@@ -17,8 +17,8 @@
     OW_LEASE_EXPIRED,  /**< expired by the local clock, but the store has answered since the last pause:
                           heartbeat replies and stops of tasks may be sent, but nothing is started,
                           provisioned or terminated */
-    OW_LEASE_UNPROVEN, /**< a pause may have been longer than the lease, and the store has not answered since:
-                            nothing may be sent */
+    OW_LEASE_UNPROVEN, /**< a pause may have been longer than the lease, and the store has not answered since,
+                            or it has answered that the lease is gone: nothing may be sent */
 };
 
 /** The lease of one leader. Changed by the functions below only. */
