--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -47,7 +47,7 @@
                     status, answer = 200, await handler(method, parts.path, query, parsed)
                 except Refused as refused:
                     status, answer = refused.status, refused.body
-                text = json.dumps(answer).encode()
+                text = json.dumps(answer, separators=(",", ":")).encode()
                 head = f"HTTP/1.1 {status} Status\r\nContent-Length: {len(text)}\r\n\r\n".encode()
                 writer.write(head + text)
                 await writer.drain()
@@ -64,7 +64,7 @@
     host, port = endpoint.rsplit(":", 1)
     reader, writer = await asyncio.open_connection(host, int(port), limit=LINE_LIMIT)
     try:
-        text = json.dumps(body).encode() if body is not None else b""
+        text = json.dumps(body, separators=(",", ":")).encode() if body is not None else b""
         head = f"{method} {path} HTTP/1.1\r\nHost: {endpoint}\r\nContent-Length: {len(text)}\r\n\r\n"
         writer.write(head.encode() + text)
         message = await read_message(reader)
--- a/review/standins/sites.py
+++ b/review/standins/sites.py
@@ -25,6 +25,20 @@
     "ranges": ["antalya-a", "izmir-b", "bodrum-d"],
 }
 
+# The example in PROTOCOL, "GET /machine_types".
+G8 = {
+    "name": "g8",
+    "cores": 96.0,
+    "gpus": 8.0,
+    "ram_gb": 768.0,
+    "cache_gb": 200.0,
+    "pull_gb_per_s": 1.0,
+    "hourly": 12.0,
+    "low_price": 4.5,
+    "boot_s": 45.0,
+    "ranges": ["antalya-a", "izmir-b", "istanbul-c", "bodrum-d"],
+}
+
 
 def objective(kind, flock, within_s, share):
     """One of params.objectives."""
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import json
 import random
 import time
 
@@ -42,6 +43,8 @@
         self.server = None
         self.images = set()
         self.results = set()  # tasks that completed here
+        self.refusals = []  # statuses other than those that PROTOCOL names for reports
+        self.lost = []  # tasks that ended with a lease
 
     def __lt__(self, other):
         return self.name < other.name
@@ -103,6 +106,7 @@
             now = time.monotonic()
             if now > self.renewed_at + self.settings["lease_s"]:
                 self.record(f"lease of {self.name} is over, {len(self.active())} tasks end")
+                self.lost += [task.name for task in self.active()]
                 self.tasks.clear()
                 self.stint += 1
                 self.renewed_at = now
@@ -194,7 +198,10 @@
             sent_at, stint = time.monotonic(), self.stint
             self.has_changed = False
             endpoint = self.controllers[self.controller]
-            status, answer = await request(endpoint, "POST", "/hello", self.report(), REPORT_TIMEOUT_S)
+            report = self.report()
+            status, answer = await request(endpoint, "POST", "/hello", report, REPORT_TIMEOUT_S)
+            if status not in (0, 200, 421, 503):
+                self.note_refusal(status, report)
             if status == 200:
                 token = answer.get("crest", 0)
                 if token >= self.crest and token > 0 and stint == self.stint and not self.has_ended:
@@ -205,6 +212,12 @@
             else:
                 await self.turn(answer.get("eyrie") if status == 421 and answer else None)
 
+    def note_refusal(self, status, report):
+        """Records a status that PROTOCOL does not name for a report."""
+        size, listed = len(json.dumps(report, separators=(",", ":"))), len(report["talons"])
+        self.refusals.append(status)
+        self.record(f"report of {self.name}, {size} bytes, {listed} tasks, refused by {self.controller}: {status}")
+
     async def turn(self, named):
         """Turns to the node that a 421 names, or to the next one."""
         if named in self.controllers and named != self.controller:
