--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,17 +8,16 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
 
-from standins.deployment import Deployment  # noqa: E402
+from standins.deployment import BROKEN, HELD, NOT_RUN, run_case  # noqa: E402
 from standins.sites import TEMIZYOL, job  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HELD, BROKEN, NOT_RUN = 0, 1, 2
 WAITING_S = 90.0  # "no job is left waiting for 90 s while a machine that fits has room"
 TALONS_MAX = 100000  # "number of tasks, at most 100,000"
 ZONES = ["antalya-a", "izmir-b", "istanbul-c", "bodrum-d"]
 SITE = dict(TEMIZYOL, machines=[("koyun", zone, False) for zone in ZONES])
 PROBE_TIMEOUT_S = 1.0  # of the load balancer
-END_S = 116.0
+END_S = 110.0
 
 
 async def probe(deployment, worst):
@@ -88,17 +87,5 @@
     return BROKEN if is_broken else HELD
 
 
-def main():
-    """Runs the case."""
-    deployment = Deployment(SITE, os.environ.get("RECORD", os.path.join(HERE, "record.txt")))
-    try:
-        return asyncio.run(play(deployment))
-    except Exception as error:  # the case could not run: this is no verdict
-        deployment.record(f"the case could not run: {error!r}")
-        return NOT_RUN
-    finally:
-        deployment.stop()
-
-
 if __name__ == "__main__":
-    os._exit(main())  # open connections of the stand-ins need no farewell
+    os._exit(run_case(SITE, play, HERE))  # open connections of the stand-ins need no farewell
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import os
+import random
+import re
 import shutil
 import signal
 import socket
 import subprocess
 import tempfile
+import sys
 import time
-import tomllib
 
 from .cloud import Cloud
 from .http import request
@@ -16,20 +18,35 @@
 from .worker import Worker
 
 HOST = "127.0.0.1"
+PORTS = (18000, 31000)
+HELD, BROKEN, NOT_RUN = 0, 3, 2  # exit statuses; run.sh turns 3 into 1: Python ends with 1 after an error
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
 
 def free_ports(count):
-    """Ports that nobody uses."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((HOST, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Ports that nobody uses, below those that the system gives to outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*PORTS)
+        with socket.socket() as probe:
+            if port not in ports and probe.connect_ex((HOST, port)) != 0:
+                ports.append(port)
     return ports
 
 
+def run_case(site, play, folder):
+    """Runs a case with a deployment, and returns the exit status of its script."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+    deployment = Deployment(site, os.environ.get("RECORD", os.path.join(folder, "record.txt")))
+    try:
+        return asyncio.run(play(deployment))
+    except (Exception, SystemExit) as error:  # the case could not run: this is no verdict
+        deployment.record(f"the case could not run: {error!r}")
+        return NOT_RUN
+    finally:
+        deployment.stop()
+
+
 class Controller:
     """A controller's process."""
 
@@ -135,8 +152,9 @@
 
     def start_controller(self, controller):
         """Starts a controller with the deploy file's command."""
-        with open(os.path.join(ROOT, "deploy/service.toml"), "rb") as file:
-            command = tomllib.load(file)["run"].split() + [controller.settings]
+        with open(os.path.join(ROOT, "deploy/service.toml"), encoding="utf-8") as file:
+            run = re.search(r'^run = "(.*)"$', file.read(), re.MULTILINE).group(1)
+        command = run.split() + [controller.settings]
         environment = dict(os.environ, LOG_LEVEL="info")
         with open(controller.log, "ab") as log:
             controller.process = subprocess.Popen(
