--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A service with as many replicas as the protocol allows: the controllers must go on serving everybody."""
+"""Accepted jobs, then all controllers crash: the jobs must still run."""
 
 import asyncio
 import os
@@ -12,80 +12,83 @@
 from standins.sites import TEMIZYOL, job  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+BACK_S = 5.0  # "back about 5 s after an end"
 WAITING_S = 90.0  # "no job is left waiting for 90 s while a machine that fits has room"
-TALONS_MAX = 100000  # "number of tasks, at most 100,000"
-ZONES = ["antalya-a", "izmir-b", "istanbul-c", "bodrum-d"]
-SITE = dict(TEMIZYOL, machines=[("koyun", zone, False) for zone in ZONES])
-PROBE_TIMEOUT_S = 1.0  # of the load balancer
-END_S = 110.0
+END_S = 112.0
 
 
-async def probe(deployment, worst):
-    """Probes GET /up of every controller once a second, as the load balancer does; notes the longest silence."""
+def service(ref, family):
+    """A service that allows koyun and the types of the same size of another provider: 32 names, one offered."""
+    breeds = [f"{family}{i}.large" for i in range(1, 32)] + ["koyun"]
+    return job(ref, "canliharita", "standing", 2, 1.0, 0.0, 3.2, 0, rank="critical", breeds=breeds)
 
-    async def one(controller):
-        silent_since = None
-        while True:
-            asked_at = time.monotonic()
-            status, _ = await deployment.ask(controller, "GET", "/up", None, PROBE_TIMEOUT_S)
-            silent_since = None if status else silent_since or asked_at
-            if silent_since:
-                worst[controller.name] = max(worst.get(controller.name, 0.0), time.monotonic() - silent_since)
-            await asyncio.sleep(1)
 
-    await asyncio.gather(*(one(controller) for controller in deployment.controllers))
+def photos(ref, talons, run_s):
+    """Photo sorting on GPUs, on any type that fits."""
+    return job(ref, "kirisim", "batch", talons, 6.0, 1.0, 24.0, run_s)
+
+
+async def until(condition, for_s):
+    """Waits for a condition; returns whether it came true."""
+    deadline = time.monotonic() + for_s
+    while time.monotonic() < deadline:
+        if condition():
+            return True
+        await asyncio.sleep(0.1)
+    return False
 
 
 async def play(deployment):
     """Plays the case; returns the exit status."""
     await deployment.start()
-    first = job("run-000301", "terazi", "batch", 2, 1.0, 0.0, 2.4, 3, image_gb=0.3)
-    if await deployment.submit(first, 20) != 201:
-        return NOT_RUN
-    while len(deployment.done(first["ref"])) < 2:
-        if deployment.now() > 20:
-            return NOT_RUN
-        await asyncio.sleep(0.2)
-    if TROUBLE:
-        need = {"cores": 0.002, "gpus": 0.0, "ram_gb": 0.008}  # all of them: 200 of the 256 CPUs
-        service = job("run-000302", "otelkapi", "standing", TALONS_MAX, *need.values(), 0, scatter=True)
-        if await deployment.submit(service, 10) != 201:
+    for number, family in ((101, "m"), (102, "c"), (103, "r")):
+        if await deployment.submit(service(f"run-000{number}", family), 20) not in (200, 201):
             return NOT_RUN
-    later = job("run-000303", "terazi", "batch", 4, 1.0, 0.0, 2.4, 10, image_gb=0.3)
-    if await deployment.submit(later, 20) not in (200, 201):
+    long_one, waiting = photos("run-000201", 1, 200), photos("run-000202", 4, 12)
+    if await deployment.submit(long_one, 10) != 201 or await deployment.submit(waiting, 10) != 201:
+        return NOT_RUN
+    if not await until(lambda: deployment.on_machines(long_one["ref"]) and deployment.on_machines(waiting["ref"]), 12):
         return NOT_RUN
-    worst = {}
-    probing = asyncio.create_task(probe(deployment, worst))
-    try:
-        return await watch(deployment, later, worst)
-    finally:
-        probing.cancel()
-
-
-async def watch(deployment, later, worst):
-    """Watches whether the later job begins."""
-    ref, accepted_at, next_poll = later["ref"], time.monotonic(), 0.0
-    waited_s = 0.0
-    while deployment.now() < END_S and waited_s <= WAITING_S:
-        begun = deployment.done(ref) | {name for _, name in deployment.on_machines(ref)}
-        fits = [worker.name for worker in deployment.workers() if worker.has_room(later)]
-        if len(begun) == later["talons"] or not fits:
-            accepted_at = time.monotonic()
-        waited_s = max(waited_s, time.monotonic() - accepted_at)
-        if time.monotonic() >= next_poll:
-            next_poll = time.monotonic() + 5
+    if TROUBLE:
+        for controller in deployment.controllers:
+            deployment.kill_controller(controller)
+        await asyncio.sleep(BACK_S)
+        for controller in deployment.controllers:
+            deployment.start_controller(controller)
+    return await watch(deployment, waiting)
+
+
+async def watch(deployment, waiting):
+    """Watches whether the waiting job goes on, from the end of the trouble."""
+    waits_since, longest_s, late_status, ref = None, 0.0, None, waiting["ref"]
+    next_poll, trouble_over = 0.0, time.monotonic()
+    while deployment.now() < END_S:
+        now = time.monotonic()
+        is_complete = len(deployment.done(ref)) == waiting["talons"]
+        has_begun = len(deployment.done(ref)) + len(deployment.on_machines(ref)) == waiting["talons"]
+        fits = [w.name for w in deployment.workers() if w.size["gpus"] > 0 and w.has_room(waiting)]
+        if has_begun or not fits:
+            waits_since = None
+        elif waits_since is None:
+            waits_since = now
+        longest_s = max(longest_s, now - waits_since if waits_since else 0.0)
+        if now >= next_poll:
+            next_poll = now + 5
             _, answer = await deployment.poll(ref)
-            deployment.record(f"{ref}: begun {sorted(begun)}, room on {fits}, user is told {answer}")
-            if answer and answer["stance"] == "done":
+            deployment.record(f"{ref}: {sorted(deployment.done(ref))} done, room on {fits}, user is told {answer}")
+            if is_complete and answer and answer["stance"] == "done" and late_status is not None:
                 break
+        if late_status is None and now > trouble_over + 10:
+            late_status = await deployment.submit(photos("run-000203", 1, 5), 30)
+        if longest_s > WAITING_S:
+            break
         await asyncio.sleep(0.2)
-    deployment.record(f"longest wait beside a machine with room: {waited_s:.1f} s (allowed: {WAITING_S} s)")
-    deployment.record(f"longest time without any answer to GET /up: {worst}")
-    deployment.record(f"highest token that the workers saw: {max(w.crest for w in deployment.workers())}")
-    is_broken = waited_s > WAITING_S
+    deployment.record(f"longest wait beside a machine with room: {longest_s:.1f} s (allowed: {WAITING_S} s)")
+    deployment.record(f"a new job like it got {late_status} (422 would mean: it can never run)")
+    is_broken = longest_s > WAITING_S or late_status == 422
     deployment.record("BROKEN" if is_broken else "HELD")
     return BROKEN if is_broken else HELD
 
 
 if __name__ == "__main__":
-    os._exit(run_case(SITE, play, HERE))  # open connections of the stand-ins need no farewell
+    os._exit(run_case(TEMIZYOL, play, HERE))  # open connections of the stand-ins need no farewell
--- a/review/standins/cloud.py
+++ b/review/standins/cloud.py
@@ -1,6 +1,7 @@
 """The cloud of PROTOCOL: machine types, rentals up to a capacity, deletions, and a list that lags."""
 
 import asyncio
+import functools
 import time
 
 from .http import Refused, serve
@@ -19,10 +20,12 @@
         self.bids = {}
         self.history = []  # (time, description of the list)
         self.count = 0
+        self.on_delete = lambda client, worker: None  # called before a machine is deleted
 
-    async def start(self, host, port):
-        """Starts the service."""
-        await serve(host, port, self.handle)
+    async def start(self, host, ports):
+        """Starts the service: a port for each controller, so that requests can be told apart."""
+        for client, port in ports.items():
+            await serve(host, port, functools.partial(self.handle, client))
         asyncio.get_running_loop().create_task(self.remember())
 
     async def remember(self):
@@ -42,7 +45,7 @@
         asyncio.get_running_loop().create_task(worker.start(boot_s))
         return name
 
-    async def handle(self, method, path, query, body):
+    async def handle(self, client, method, path, query, body):
         """Handles a request."""
         now = time.monotonic()
         self.level = min(2 * self.rps, self.level + (now - self.at) * self.rps)
@@ -53,7 +56,7 @@
         if path == "/machine_types":
             return {"breeds": self.types}
         if path == "/rentals/delete":
-            return await self.delete(body)
+            return await self.delete(client, body)
         if method == "POST":
             return await self.rent(body)
         return self.list(query)
@@ -71,14 +74,15 @@
         self.bids[body["bid"]] = [await self.add(*kind, boot_s) for _ in range(count)]
         return {"perches": self.bids[body["bid"]]}
 
-    async def delete(self, body):
+    async def delete(self, client, body):
         """POST /rentals/delete."""
         for name in body["perches"]:
+            self.on_delete(client, self.machines.get(name))
             worker = self.machines.pop(name, None)
             if worker is not None:
                 kind = (worker.breed, worker.zone, worker.spot)
                 self.capacity[kind] = self.capacity.get(kind, 0) + 1
-                worker.end("the cloud deleted the machine")
+                worker.end(f"{client} had it deleted")
         return {}
 
     def list(self, query):
