--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,7 +18,7 @@
 
 
 def service(ref, family):
-    """A service that allows koyun and the types of the same size of another provider: 32 names, one offered."""
+    """A service that allows koyun and the like types of another provider: 32 names, one is offered."""
     breeds = [f"{family}{i}.large" for i in range(1, 32)] + ["koyun"]
     return job(ref, "canliharita", "standing", 2, 1.0, 0.0, 3.2, 0, rank="critical", breeds=breeds)
 
@@ -47,7 +47,9 @@
     long_one, waiting = photos("run-000201", 1, 200), photos("run-000202", 4, 12)
     if await deployment.submit(long_one, 10) != 201 or await deployment.submit(waiting, 10) != 201:
         return NOT_RUN
-    if not await until(lambda: deployment.on_machines(long_one["ref"]) and deployment.on_machines(waiting["ref"]), 12):
+    if not await until(
+        lambda: deployment.on_machines(long_one["ref"]) and deployment.on_machines(waiting["ref"]), 12
+    ):
         return NOT_RUN
     if TROUBLE:
         for controller in deployment.controllers:
@@ -75,7 +77,9 @@
         if now >= next_poll:
             next_poll = now + 5
             _, answer = await deployment.poll(ref)
-            deployment.record(f"{ref}: {sorted(deployment.done(ref))} done, room on {fits}, user is told {answer}")
+            deployment.record(
+                f"{ref}: {sorted(deployment.done(ref))} done, room on {fits}, user is told {answer}"
+            )
             if is_complete and answer and answer["stance"] == "done" and late_status is not None:
                 break
         if late_status is None and now > trouble_over + 10:
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -84,7 +84,11 @@
         ]
         self.state = State(site["state"])
         self.cloud = Cloud(
-            site["types"], site["capacity"], site["cloud"]["list_lag_s"], site["cloud"]["rps"], self.new_worker
+            site["types"],
+            site["capacity"],
+            site["cloud"]["list_lag_s"],
+            site["cloud"]["rps"],
+            self.new_worker,
         )
 
     def now(self):
--- a/review/standins/state.py
+++ b/review/standins/state.py
@@ -154,7 +154,9 @@
             left = deadline - time.monotonic()
             if found or left <= 0:
                 log = [
-                    {"drop": key, "mark": mark} if value is None else {"write": key, "value": value, "mark": mark}
+                    {"drop": key, "mark": mark}
+                    if value is None
+                    else {"write": key, "value": value, "mark": mark}
                     for mark, key, value in found
                 ]
                 return {"tide": self.tide, "log": log}
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -216,7 +216,9 @@
         """Records a status that PROTOCOL does not name for a report."""
         size, listed = len(json.dumps(report, separators=(",", ":"))), len(report["talons"])
         self.refusals.append(status)
-        self.record(f"report of {self.name}, {size} bytes, {listed} tasks, refused by {self.controller}: {status}")
+        self.record(
+            f"report of {self.name}, {size} bytes, {listed} tasks, refused by {self.controller}: {status}"
+        )
 
     async def turn(self, named):
         """Turns to the node that a 421 names, or to the next one."""
