--- a/review/2/case.py
+++ b/review/2/case.py
@@ -95,4 +95,4 @@
 
 
 if __name__ == "__main__":
-    os._exit(run_case(TEMIZYOL, play, HERE))  # open connections of the stand-ins need no farewell
+    run_case(TEMIZYOL, play, HERE)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -9,7 +9,6 @@
 import socket
 import subprocess
 import tempfile
-import sys
 import time
 
 from .cloud import Cloud
@@ -35,16 +34,27 @@
 
 
 def run_case(site, play, folder):
-    """Runs a case with a deployment, and returns the exit status of its script."""
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+    """Runs a case with a deployment, and ends this process with its verdict."""
     deployment = Deployment(site, os.environ.get("RECORD", os.path.join(folder, "record.txt")))
-    try:
-        return asyncio.run(play(deployment))
-    except (Exception, SystemExit) as error:  # the case could not run: this is no verdict
-        deployment.record(f"the case could not run: {error!r}")
-        return NOT_RUN
-    finally:
+
+    def end(status):
+        """Ends the process at once: tasks of the stand-ins that are still waiting need no farewell."""
         deployment.stop()
+        os._exit(status)
+
+    def out_of_time(*_):
+        deployment.record("the case could not run: it did not end in time")
+        end(NOT_RUN)
+
+    async def whole():
+        try:
+            end(await play(deployment))
+        except Exception as error:  # this is no verdict
+            deployment.record(f"the case could not run: {error!r}")
+            end(NOT_RUN)
+
+    signal.signal(signal.SIGTERM, out_of_time)
+    asyncio.run(whole())
 
 
 class Controller:
