Types: only the cloud and workers name machine types, and sets of types have no limit

Cause: a type's index was its place in the order in which the process first met names, the names that users write in `breeds` included, and a set of types was a 64-bit number. A controller that comes back reads the job table before it hears of the cloud's types. Those after the 64th name were dropped without a word.

Change: the table of types (core/type_sets) gives an index to what the cloud or a worker names, and to nothing else. A job's set keeps the job's names as text and contains the known types among them; a type that becomes known later is added to the sets that name it. So neither order nor names of users can matter, and OW_MAX_TYPES is gone: from the sets, the table of types and the reader of the cloud's answer, which cut its list as well. Stored records and messages are unchanged.

--- a/src/core/api/feasibility.c
+++ b/src/core/api/feasibility.c
@@ -29,7 +29,7 @@
 
 static bool fits_some_type(const struct ow_core *core, const struct ow_submission *submission)
 {
-    for (int i = 0; i < OW_MAX_TYPES; i++) {
+    for (int i = 0; i < ow_machine_types_count(core->machine_types); i++) {
         const struct ow_machine_type *type = ow_machine_types_at(core->machine_types, i);
         if (type != NULL && may_run_on_type(submission, type))
             return true;
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -56,7 +56,7 @@
         .teams = ow_interner_new(),
         .images = ow_interner_new(),
         .zones = ow_interner_new(),
-        .types = ow_interner_new(),
+        .types = ow_type_sets_new(),
     };
 }
 
@@ -66,7 +66,7 @@
     ow_interner_free(interners->teams);
     ow_interner_free(interners->images);
     ow_interner_free(interners->zones);
-    ow_interner_free(interners->types);
+    ow_type_sets_free(interners->types);
 }
 
 struct ow_core *ow_core_new(const struct ow_settings *settings, const struct ow_tuning *tuning,
@@ -79,7 +79,7 @@
     core->store_limits = ow_store_limits_from_settings(settings);
     core->pending_calls = ow_pending_calls_new();
     core->interners = new_interners();
-    core->classes = g_array_new(FALSE, FALSE, sizeof(struct ow_class));
+    core->classes = ow_classes_new();
     core->jobs = ow_jobs_new(&core->interners);
     core->job_cache = ow_job_cache_new(core);
     core->election = ow_election_new(core, &election_callbacks);
@@ -109,8 +109,8 @@
     ow_jobs_free(core->jobs);
     ow_machine_types_free(core->machine_types);
     ow_hello_free(core->hello);
-    free_interners(&core->interners);
     g_array_free(core->classes, TRUE);
+    free_interners(&core->interners);
     ow_store_health_free(core->store_health);
     ow_peer_status_free(core->peer_status);
     ow_type_discovery_free(core->type_discovery);
--- a/src/core/jobs/job.c
+++ b/src/core/jobs/job.c
@@ -1,6 +1,5 @@
 #include "core/jobs/job.h"
 
-#include "model/cloud.h"
 #include "model/submission.h"
 
 struct ow_jobs {
@@ -17,13 +16,7 @@
     spec->team = ow_interner_intern(names->teams, submission->team);
     spec->image = ow_interner_intern(names->images, submission->image);
     spec->zone = submission->zone != NULL ? ow_interner_intern(names->zones, submission->zone) : OW_NO_NAME;
-    spec->types = submission->types == NULL ? UINT64_MAX : 0;
-    for (char **type = submission->types; type != NULL && *type != NULL; type++) {
-        int index = ow_interner_intern(names->types, *type);
-        /* Types past the bound are never provisioned, so the job may ignore them. */
-        if (index < OW_MAX_TYPES)
-            spec->types |= UINT64_C(1) << index;
-    }
+    spec->types = ow_type_sets_get(names->types, submission->types);
     return spec;
 }
 
@@ -31,6 +24,7 @@
 {
     if (spec == NULL)
         return;
+    ow_type_set_unref(spec->types);
     ow_submission_free(spec->submission);
     g_free(spec);
 }
--- a/src/core/jobs/job.h
+++ b/src/core/jobs/job.h
@@ -5,6 +5,7 @@
 #ifndef OW_CORE_JOBS_JOB_H
 #define OW_CORE_JOBS_JOB_H
 
+#include "core/type_sets.h"
 #include "model/submission.h"
 #include "util/interner.h"
 
@@ -21,7 +22,7 @@
     struct ow_interner *teams;
     struct ow_interner *images;
     struct ow_interner *zones;
-    struct ow_interner *types;
+    struct ow_type_sets *types;
 };
 
 /** A submission with its names as indices. */
@@ -30,17 +31,10 @@
     int class_index;
     int team;
     int image;
-    int zone;       /**< OW_NO_NAME: any */
-    uint64_t types; /**< a bit for each allowed type */
+    int zone;                  /**< OW_NO_NAME: any */
+    struct ow_type_set *types; /**< the allowed types; a reference */
 };
 
-/** Whether a set of machine types, a bit for each as in `struct ow_job_spec`, has the type. `type_index` is 0
- * or more and below OW_MAX_TYPES. */
-static inline bool ow_type_set_has(uint64_t types, int type_index)
-{
-    return (types & (UINT64_C(1) << type_index)) != 0;
-}
-
 /** A job, as known to this controller. Times are by the core's clock, in seconds. */
 struct ow_job {
     char *id;                          /**< owned */
--- a/src/core/machines/headroom.c
+++ b/src/core/machines/headroom.c
@@ -35,7 +35,7 @@
     const struct ow_machine_type *type = ow_machine_type_of(leader, machine);
     if (type == NULL ||
         (exclude_wasteful && ow_instance_offers_is_wasteful(leader, type, class, machine->spot)) ||
-        (machine->spot && !class->spot) || (class->types & (UINT64_C(1) << machine->type)) == 0)
+        (machine->spot && !class->spot) || !ow_class_allows_type(class, machine->type))
         return 0;
     /* On an ordinary machine with GPUs, a class gets only CPUs that the GPUs don't need, as in placement. */
     struct ow_machine_type leftover = {.size = type->size};
--- a/src/core/machines/instance_offers.c
+++ b/src/core/machines/instance_offers.c
@@ -92,12 +92,12 @@
 /* Lowest hourly price for a task on an ordinary machine of these types without unneeded GPUs, whether or not
    the cloud can provide it. */
 static double price_without_gpus(const struct ow_leader *leader, const struct ow_resources *need,
-                                 uint64_t types)
+                                 const struct ow_type_set *types)
 {
     double best = INFINITY;
-    for (int i = 0; i < OW_MAX_TYPES; i++) {
+    for (int i = 0; i < ow_machine_types_count(leader->core->machine_types); i++) {
         const struct ow_machine_type *type = ow_machine_types_at(leader->core->machine_types, i);
-        if (type != NULL && !has_unneeded_gpus(type, need) && (types & (UINT64_C(1) << i)) != 0)
+        if (type != NULL && !has_unneeded_gpus(type, need) && ow_type_set_has(types, i))
             best = MIN(best, price_per_task(type, need, false));
     }
     return best;
@@ -174,7 +174,8 @@
                                       struct ow_expected_machine *out)
 {
     double best_price = INFINITY;
-    for (int type_index = 0; type_index < OW_MAX_TYPES; type_index++) {
+    int type_count = ow_machine_types_count(leader->core->machine_types);
+    for (int type_index = 0; type_index < type_count; type_index++) {
         if (ow_machine_types_at(leader->core->machine_types, type_index) == NULL)
             continue;
         for (char **zone = leader->core->settings->zones; *zone != NULL; zone++) {
--- a/src/core/machines/machine_registry.c
+++ b/src/core/machines/machine_registry.c
@@ -51,7 +51,7 @@
         g_free(machine->addr);
         machine->addr = g_strdup(addr);
     }
-    machine->type = ow_interner_intern(leader->core->interners.types, type);
+    machine->type = ow_type_sets_intern(leader->core->interners.types, type);
     machine->zone = ow_interner_intern(leader->core->interners.zones, zone);
     machine->spot = spot;
 }
--- a/src/core/machines/scale_out.c
+++ b/src/core/machines/scale_out.c
@@ -61,7 +61,7 @@
 {
     struct ow_leader *leader = owner;
     const struct provision_call *call = data;
-    const char *type = ow_interner_text(leader->core->interners.types, call->type);
+    const char *type = ow_type_sets_name(leader->core->interners.types, call->type);
     const char *zone = ow_interner_text(leader->core->interners.zones, call->zone);
     leader->scale_out->calls_in_flight--;
     leader->scale_out->next_at = leader->core->now; /* plan again with the result of this call */
@@ -141,7 +141,7 @@
             return;
         wanted -= taken;
         g_debug("machine planned for job: job=%s type=%s wait_s=%.0f", execution->job->id,
-                ow_interner_text(leader->core->interners.types, expected.machine.type), wait_s);
+                ow_type_sets_name(leader->core->interners.types, expected.machine.type), wait_s);
         g_array_append_val(plan, expected);
         (*limit)--;
     }
@@ -160,7 +160,7 @@
     /* The fencing token is unique to this leader, so no other process uses the name for another request. */
     request->name = g_strdup_printf("r-%" G_GUINT64_FORMAT "-%u", leader->fencing_token,
                                     ++leader->scale_out->request_count);
-    request->type = g_strdup(ow_interner_text(leader->core->interners.types, call->type));
+    request->type = g_strdup(ow_type_sets_name(leader->core->interners.types, call->type));
     request->zone = g_strdup(ow_interner_text(leader->core->interners.zones, call->zone));
     request->spot = call->spot;
     request->count = count;
--- a/src/core/machines/work_backlog.c
+++ b/src/core/machines/work_backlog.c
@@ -16,7 +16,7 @@
 /* Capacity of the machines that are up for jobs with the same constraints; computed once per
    planning round. */
 struct demand_capacity {
-    uint64_t types;
+    struct ow_type_set *types; /* a reference of each entry in `capacities` */
     int zone;
     bool spot;
     bool needs_gpus;
@@ -29,10 +29,17 @@
     GArray *capacities; /* struct demand_capacity */
 };
 
+static void clear_capacity(void *item)
+{
+    struct demand_capacity *capacity = item;
+    ow_type_set_unref(capacity->types);
+}
+
 struct ow_work_backlog *ow_work_backlog_new(void)
 {
     struct ow_work_backlog *backlog = g_new0(struct ow_work_backlog, 1);
     backlog->capacities = g_array_new(FALSE, FALSE, sizeof(struct demand_capacity));
+    g_array_set_clear_func(backlog->capacities, clear_capacity);
     return backlog;
 }
 
@@ -75,7 +82,8 @@
 
 static bool is_same_demand(const struct demand_capacity *a, const struct demand_capacity *b)
 {
-    return a->types == b->types && a->zone == b->zone && a->spot == b->spot && a->needs_gpus == b->needs_gpus;
+    return a->zone == b->zone && a->spot == b->spot && a->needs_gpus == b->needs_gpus &&
+           ow_type_set_equal(a->types, b->types);
 }
 
 /* Capacity of the usable machines for the job, from the cache if another job has the same constraints. */
@@ -96,6 +104,7 @@
         if (ow_machine_is_usable(leader, machine))
             demand_capacity.capacity += capacity_on(leader, spec, machine);
     }
+    ow_type_set_ref(demand_capacity.types);
     g_array_append_val(backlog->capacities, demand_capacity);
     return demand_capacity.capacity;
 }
--- a/src/core/peers/machine_list.c
+++ b/src/core/peers/machine_list.c
@@ -30,7 +30,7 @@
         struct ow_peer_machine entry = {
             .name = g_strdup(machine->name),
             .addr = g_strdup(machine->addr),
-            .type = g_strdup(ow_interner_text(names->types, machine->type)),
+            .type = g_strdup(ow_type_sets_name(names->types, machine->type)),
             .zone = g_strdup(ow_interner_text(names->zones, machine->zone)),
             .spot = machine->spot,
         };
--- a/src/core/scheduling/classes.c
+++ b/src/core/scheduling/classes.c
@@ -28,6 +28,19 @@
 /* The longer runs of a class are assumed to take this many times its expected run time. */
 static const double LONG_RUN_FACTOR = 1.5;
 
+static void clear_class(void *item)
+{
+    struct ow_class *class = item;
+    g_clear_pointer(&class->types, ow_type_set_unref);
+}
+
+GArray *ow_classes_new(void)
+{
+    GArray *classes = g_array_new(FALSE, FALSE, sizeof(struct ow_class));
+    g_array_set_clear_func(classes, clear_class);
+    return classes;
+}
+
 struct ow_class *ow_class_of(struct ow_core *core, int class_index)
 {
     while (core->classes->len <= (guint)class_index) {
@@ -70,7 +83,8 @@
     class->gang = ow_submission_is_gang(submission);
     class->spot = submission->spot;
     class->rank = submission->rank;
-    class->types = spec->types;
+    ow_type_set_unref(class->types);
+    class->types = ow_type_set_ref(spec->types);
     class->seen = true;
 }
 
--- a/src/core/scheduling/classes.h
+++ b/src/core/scheduling/classes.h
@@ -32,7 +32,7 @@
     bool spot;
     bool service;
     enum ow_rank rank;
-    uint64_t types; /**< a bit for each allowed type */
+    struct ow_type_set *types; /**< the allowed types; a reference */
 
     /* Demand. */
     double peak;               /**< most tasks that ran or waited at once, decaying */
@@ -46,6 +46,8 @@
 {
     return ow_type_set_has(class->types, type_index);
 }
+/** Creates an empty array of struct ow_class; the caller frees it. */
+GArray *ow_classes_new(void);
 /** The observations of the class, added with neutral values if there are none. Valid until the next call,
  * which may grow the array. */
 struct ow_class *ow_class_of(struct ow_core *core, int class_index);
--- a/src/core/scheduling/image_demand.c
+++ b/src/core/scheduling/image_demand.c
@@ -19,7 +19,7 @@
 double ow_image_slowest_fetch_s(const struct ow_leader *leader, const struct ow_job_spec *spec)
 {
     double slowest_s = 0;
-    for (int i = 0; i < OW_MAX_TYPES; i++) {
+    for (int i = 0; i < ow_machine_types_count(leader->core->machine_types); i++) {
         const struct ow_machine_type *type = ow_machine_types_at(leader->core->machine_types, i);
         if (type == NULL || type->fetch_gb_per_s <= 0 || !fits_type(spec, i, type))
             continue;
--- a/src/core/scheduling/placement.c
+++ b/src/core/scheduling/placement.c
@@ -17,8 +17,6 @@
 
 bool ow_placement_is_allowed(const struct ow_job_spec *spec, const struct ow_machine *machine)
 {
-    if (machine->type < 0 || machine->type >= OW_MAX_TYPES)
-        return false;
     if (!ow_type_set_has(spec->types, machine->type))
         return false;
     if (spec->zone != OW_NO_NAME && spec->zone != machine->zone)
--- a/src/core/scheduling/reason.c
+++ b/src/core/scheduling/reason.c
@@ -13,7 +13,7 @@
 
 /* Counts of the machines that a job with these demands allows; computed once a cycle. */
 struct machine_counts {
-    uint64_t types;
+    struct ow_type_set *types; /* a reference: the job may end within the cycle */
     int zone;
     bool spot;
     uint32_t allowed;
@@ -21,9 +21,17 @@
     uint32_t usable;
 };
 
+static void clear_counts(void *item)
+{
+    struct machine_counts *counts = item;
+    ow_type_set_unref(counts->types);
+}
+
 GArray *ow_reason_new_machine_counts(void)
 {
-    return g_array_new(FALSE, FALSE, sizeof(struct machine_counts));
+    GArray *machine_counts = g_array_new(FALSE, FALSE, sizeof(struct machine_counts));
+    g_array_set_clear_func(machine_counts, clear_counts);
+    return machine_counts;
 }
 
 void ow_reason_begin_cycle(struct ow_leader *leader)
@@ -33,13 +41,15 @@
 
 static bool applies_to(const struct machine_counts *counts, const struct ow_job_spec *spec)
 {
-    return counts->types == spec->types && counts->zone == spec->zone &&
-           counts->spot == spec->submission->spot;
+    return counts->zone == spec->zone && counts->spot == spec->submission->spot &&
+           ow_type_set_equal(counts->types, spec->types);
 }
 
+/* The counts for such jobs, with a reference to their types. */
 static struct machine_counts count_machines(const struct ow_leader *leader, const struct ow_job_spec *spec)
 {
-    struct machine_counts counts = {.types = spec->types, .zone = spec->zone, .spot = spec->submission->spot};
+    struct machine_counts counts = {
+        .types = ow_type_set_ref(spec->types), .zone = spec->zone, .spot = spec->submission->spot};
     for (guint i = 0; i < leader->machines->len; i++) {
         const struct ow_machine *machine = g_ptr_array_index(leader->machines, i);
         if (!ow_placement_is_allowed(spec, machine))
--- a/src/model/cloud.h
+++ b/src/model/cloud.h
@@ -10,9 +10,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** Maximum number of machine types: the core stores sets of types as bits of a 64-bit number. */
-enum { OW_MAX_TYPES = 64 };
-
 /** A machine type that the cloud offers. It owns its name and its zones. */
 struct ow_machine_type {
     char *name;
--- a/src/util/interner.h
+++ b/src/util/interner.h
@@ -2,8 +2,8 @@
  * Interner: maps strings to dense indices from 0, by which the core compares names and indexes arrays.
  *
  * Indices are assigned in the order in which strings are first interned, are never reused, and stay valid as
- * long as the interner exists. There is one interner for each kind of name (classes, teams, images, zones,
- * types).
+ * long as the interner exists. There is one interner for each kind of name (classes, teams, images, zones).
+ * Nothing may depend on an index being small where users choose the names.
  */
 #ifndef OW_UTIL_INTERNER_H
 #define OW_UTIL_INTERNER_H
--- a/src/wire/cloud_json.c
+++ b/src/wire/cloud_json.c
@@ -35,7 +35,7 @@
         return NULL;
     GArray *types = g_array_new(FALSE, TRUE, sizeof(struct ow_machine_type));
     g_array_set_clear_func(types, ow_machine_type_clear);
-    for (size_t i = 0; i < json_array_size(list) && types->len < OW_MAX_TYPES; i++) {
+    for (size_t i = 0; i < json_array_size(list); i++) {
         struct ow_machine_type type = {0};
         if (machine_type_from_json(json_array_get(list, i), &type))
             g_array_append_val(types, type);
--- a/src/wire/cloud_json.h
+++ b/src/wire/cloud_json.h
@@ -30,8 +30,7 @@
 char *wire_machine_types_encode(const GArray *types);
 
 /**
- * Decodes machine types, from a reply of the cloud or as stored. Types beyond OW_MAX_TYPES and invalid ones
- * are skipped.
+ * Decodes machine types, from a reply of the cloud or as stored. Invalid ones are skipped.
  * @return struct ow_machine_type, owned by the caller; NULL if malformed
  */
 GArray *wire_machine_types_from_json(const json_t *object);
--- /dev/null
+++ b/tests/cluster/test_machine_types.c
@@ -0,0 +1,136 @@
+/* Machine types: what controllers know of the cloud's offer, and the names that jobs list. Guards against
+ * accepted jobs that never run, and new ones that are refused, because other names than the cloud's, or the
+ * order in which a process learns names, decide which types a controller can use. */
+#include "check.h"
+#include "sim_cluster.h"
+#include "model/cloud.h"
+#include "model/submission.h"
+
+/* The number of names that each job with a long list of types allows. */
+enum { LISTED_NAMES = 32 };
+
+static int setup_one_machine_of_each_type(void **state)
+{
+    struct sim_cluster *cluster = sim_with_machines(1);
+    sim_add_machine(cluster, "m-gpu", "gpu", "east", false);
+    sim_run(cluster, 4);
+    *state = cluster;
+    return 0;
+}
+
+/* Names of types that the cloud does not offer, different for each prefix, and the name of one that it
+ * offers. */
+static char **names_with(const char *prefix, const char *offered)
+{
+    GStrvBuilder *builder = g_strv_builder_new();
+    for (int i = 1; i < LISTED_NAMES; i++) {
+        g_autofree char *name = g_strdup_printf("%s-%d", prefix, i);
+        g_strv_builder_add(builder, name);
+    }
+    g_strv_builder_add(builder, offered);
+    char **names = g_strv_builder_end(builder);
+    g_strv_builder_unref(builder);
+    return names;
+}
+
+/* Starts services on "big" that together allow more than 64 types which the cloud does not offer. */
+static void start_services_with_unoffered_types(struct sim_cluster *cluster)
+{
+    static const char *const ids[] = {"run-1", "run-2", "run-3"};
+    for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+        struct ow_submission *service = sim_service(ids[i], 1, 1);
+        service->types = names_with(ids[i], "big");
+        sim_submit_accepted(cluster, 0, service);
+        assert_true(sim_run_until(cluster, 10, sim_job_is_running, ids[i]));
+    }
+}
+
+static void restart_controllers(struct sim_cluster *cluster)
+{
+    sim_kill_controllers(cluster);
+    sim_run(cluster, 5);
+    sim_start_controllers(cluster);
+}
+
+/* An array job whose tasks need one GPU each. */
+static struct ow_submission *gpu_job(const char *id, uint32_t tasks)
+{
+    struct ow_submission *job = sim_job(id, tasks, 1);
+    job->need.gpus = 1;
+    return job;
+}
+
+/* Guards against accepted jobs that stay queued for good: after a restart of all controllers the names of
+ * open jobs, which are read first, displaced the types that the cloud offers. */
+static void test_accepted_job_runs_after_restart_though_jobs_name_unoffered_types(void **state)
+{
+    struct sim_cluster *cluster = *state;
+    cluster->run_time_s = 12;
+    start_services_with_unoffered_types(cluster);
+    sim_submit_accepted(cluster, 0, gpu_job("run-4", 6));
+    assert_true(sim_run_until(cluster, 10, sim_job_is_running, "run-4"));
+    restart_controllers(cluster);
+    assert_true(sim_run_until(cluster, 75, sim_job_is_done, "run-4"));
+    sim_check_safety(cluster);
+}
+
+/* Guards against new jobs that get 422 for the same reason, at every controller. */
+static void test_job_is_accepted_after_restart_though_jobs_name_unoffered_types(void **state)
+{
+    struct sim_cluster *cluster = *state;
+    start_services_with_unoffered_types(cluster);
+    restart_controllers(cluster);
+    sim_run(cluster, 20);
+    sim_submit_accepted(cluster, 0, gpu_job("run-5", 1));
+    sim_submit_accepted(cluster, 1, gpu_job("run-6", 1));
+    sim_submit_accepted(cluster, 2, gpu_job("run-7", 1));
+    assert_true(sim_run_until(cluster, 30, sim_job_is_done, "run-7"));
+    sim_check_safety(cluster);
+}
+
+/* Guards against a job that is accepted but never placed because its list names the offered type last, after
+ * many others, and against one that is placed on a type that it does not list. */
+static void test_offered_type_is_used_wherever_it_stands_in_the_list(void **state)
+{
+    struct sim_cluster *cluster = *state;
+    start_services_with_unoffered_types(cluster);
+    struct ow_submission *job = sim_job("run-4", 1, 1);
+    job->types = names_with("run-4", "gpu");
+    cluster->run_time_s = 100;
+    restart_controllers(cluster);
+    sim_run(cluster, 20);
+    struct sim_machine *machine = sim_start_job(cluster, job);
+    assert_string_equal(machine->type, "gpu");
+    sim_check_safety(cluster);
+}
+
+/* Guards against machines of the last types of a long offer that are never used. */
+static void test_every_type_of_a_long_offer_is_used(void **state)
+{
+    (void)state;
+    struct sim_cluster *cluster = sim_new();
+    cluster->other_types = 200;
+    sim_start_controllers(cluster);
+    sim_add_machine(cluster, "m-gpu", "gpu", "east", false);
+    sim_run(cluster, 8);
+    sim_submit_accepted(cluster, 0, gpu_job("run-1", 1));
+    assert_true(sim_run_until(cluster, 30, sim_job_is_done, "run-1"));
+    cluster->provisionable_machines = 4;
+    sim_submit_accepted(cluster, 0, sim_job("run-2", 1, 10));
+    assert_true(sim_run_until(cluster, 60, sim_job_is_done, "run-2"));
+    sim_finish(cluster);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(test_accepted_job_runs_after_restart_though_jobs_name_unoffered_types,
+                                        setup_one_machine_of_each_type, sim_teardown),
+        cmocka_unit_test_setup_teardown(test_job_is_accepted_after_restart_though_jobs_name_unoffered_types,
+                                        setup_one_machine_of_each_type, sim_teardown),
+        cmocka_unit_test_setup_teardown(test_offered_type_is_used_wherever_it_stands_in_the_list,
+                                        setup_one_machine_of_each_type, sim_teardown),
+        cmocka_unit_test(test_every_type_of_a_long_offer_is_used),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/sim/sim_cloud.c
+++ b/tests/sim/sim_cloud.c
@@ -21,10 +21,15 @@
     g_array_append_val(types, type);
 }
 
-static GArray *machine_types(void)
+/* The other types are too small for any task. */
+static GArray *machine_types(const struct sim_cluster *cluster)
 {
     GArray *types = g_array_new(FALSE, TRUE, sizeof(struct ow_machine_type));
     g_array_set_clear_func(types, ow_machine_type_clear);
+    for (unsigned i = 0; i < cluster->other_types; i++) {
+        g_autofree char *name = g_strdup_printf("small-%u", i);
+        add_type(types, name, 0.01, 0);
+    }
     add_type(types, "big", 16, 0);
     add_type(types, "gpu", 8, 2);
     return types;
@@ -100,7 +105,7 @@
         return;
     }
     if (request->op == OW_CLOUD_TYPES)
-        event->cloud.types = machine_types();
+        event->cloud.types = machine_types(cluster);
     else if (request->op == OW_CLOUD_LIST)
         event->cloud.listed = list_machines(cluster, request->after, &event->cloud.has_more);
     else if (request->op == OW_CLOUD_PROVISION)
--- a/tests/unit/test_records.c
+++ b/tests/unit/test_records.c
@@ -96,7 +96,7 @@
 {
     (void)state;
     struct ow_interners names = {ow_interner_new(), ow_interner_new(), ow_interner_new(), ow_interner_new(),
-                                 ow_interner_new()};
+                                 ow_type_sets_new()};
     struct ow_jobs *jobs = ow_jobs_new(&names);
     assert_non_null(ow_jobs_apply(jobs, "run-1", 5, OW_JOB_QUEUED, sim_job("run-1", 1, 1), 0, 0));
     assert_int_equal(ow_jobs_open(jobs)->len, 1);
@@ -110,7 +110,7 @@
     ow_interner_free(names.teams);
     ow_interner_free(names.images);
     ow_interner_free(names.zones);
-    ow_interner_free(names.types);
+    ow_type_sets_free(names.types);
 }
 
 static void test_interned_names_keep_their_index(void **state)
