Types: a leader that knows none reads the record of an earlier one

Callers saw: after a restart of all controllers while the cloud is down, 503 "still starting" from the leader, and accepted jobs that waited for the cloud beside a machine with room, although the types are recorded.

Cause: only controllers that don't lead read the record. One whose first read failed and that led by the time of the second asked nobody but the cloud.

Why this works: who knows no types reads the record every 1.5 s, whether it leads or not, until it knows some.

Evidence: test_leader_reads_the_recorded_types_though_its_first_read_fails failed before: the submission at the leader got 503, and without that submission the job accepted by a follower did not run within 30 s.

--- a/src/core/type_discovery.c
+++ b/src/core/type_discovery.c
@@ -8,13 +8,13 @@
 #include "model/records.h"
 #include "wire/cloud_json.h"
 
-/* Minimum time between two attempts. */
+/* Time between two attempts. */
 static const double RETRY_S = 1.5;
 
 struct ow_type_discovery {
     struct ow_core *core;
     bool is_in_flight;   /* a request to the cloud */
-    double requested_at; /* when the last one was sent */
+    double attempted_at; /* when the last attempt began */
 };
 
 struct ow_type_discovery *ow_type_discovery_new(struct ow_core *core)
@@ -55,7 +55,6 @@
 {
     struct ow_cloud_request *request = g_new0(struct ow_cloud_request, 1);
     request->op = OW_CLOUD_TYPES;
-    discovery->requested_at = discovery->core->now;
     discovery->is_in_flight = true;
     ow_core_call_cloud(discovery->core, request, on_cloud_types, discovery, NULL, NULL);
 }
@@ -69,10 +68,13 @@
 void ow_type_discovery_tick(struct ow_type_discovery *discovery)
 {
     const struct ow_core *core = discovery->core;
-    if (ow_machine_types_are_known(core->machine_types) || core->leader != NULL || discovery->is_in_flight)
+    if (ow_machine_types_are_known(core->machine_types) || discovery->is_in_flight)
         return;
-    if (core->now < discovery->requested_at + RETRY_S)
+    if (core->now < discovery->attempted_at + RETRY_S)
         return;
-    request_cloud_types(discovery);
+    discovery->attempted_at = core->now;
+    /* A leader polls the cloud within its limit of requests. */
+    if (core->leader == NULL)
+        request_cloud_types(discovery);
     read_stored_types(discovery);
 }
--- a/tests/cluster/test_machine_types.c
+++ b/tests/cluster/test_machine_types.c
@@ -121,6 +121,26 @@
     sim_finish(cluster);
 }
 
+/* ---- what is learned late ---- */
+
+/* Guards against an accepted job that waits for the cloud beside a machine with room: the leader took the
+ * lead before it had read the recorded types, and read them no more. */
+static void test_leader_reads_the_recorded_types_though_its_first_read_fails(void **state)
+{
+    struct sim_cluster *cluster = *state;
+    cluster->cloud_down = true;
+    sim_kill_controllers(cluster);
+    cluster->store_down = true;
+    sim_start_controllers(cluster);
+    sim_run(cluster, 0.3);
+    cluster->store_down = false;
+    sim_run(cluster, 20);
+    sim_submit_accepted(cluster, sim_follower(cluster), sim_job("run-1", 1, 1));
+    sim_submit_accepted(cluster, sim_leader(cluster), sim_job("run-2", 1, 1));
+    assert_true(sim_run_until(cluster, 30, sim_job_is_done, "run-1"));
+    sim_check_safety(cluster);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -131,6 +151,8 @@
         cmocka_unit_test_setup_teardown(test_offered_type_is_used_wherever_it_stands_in_the_list,
                                         setup_one_machine_of_each_type, sim_teardown),
         cmocka_unit_test(test_every_type_of_a_long_offer_is_used),
+        cmocka_unit_test_setup_teardown(test_leader_reads_the_recorded_types_though_its_first_read_fails,
+                                        setup_one_machine_of_each_type, sim_teardown),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
