Types: every controller learns what the cloud offers later

Callers saw: 422 "a task fits no allowed machine type", which users do not retry, from controllers that had started before the cloud offered the type, while others accepted the same job.

Cause: a controller that does not lead asked for the types until it knew some, from the cloud or from the record, and never again.

Why this works: it asks the cloud every 60 s, as the leader does, so what it accepts does not depend on when it started. Up to four such controllers make less than one request in 10 s.

Evidence: test_every_controller_learns_a_type_that_is_offered_later failed before with 422 (0x1a6) and passes now. Within the 60 s after a change of the offer a controller still answers by the old one.

--- a/src/core/type_discovery.c
+++ b/src/core/type_discovery.c
@@ -8,8 +8,9 @@
 #include "model/records.h"
 #include "wire/cloud_json.h"
 
-/* Time between two attempts. */
+/* Time between two attempts while no types are known, and between two requests to the cloud afterwards. */
 static const double RETRY_S = 1.5;
+static const double REFRESH_S = 60;
 
 struct ow_type_discovery {
     struct ow_core *core;
@@ -68,13 +69,13 @@
 void ow_type_discovery_tick(struct ow_type_discovery *discovery)
 {
     const struct ow_core *core = discovery->core;
-    if (ow_machine_types_are_known(core->machine_types) || discovery->is_in_flight)
-        return;
-    if (core->now < discovery->attempted_at + RETRY_S)
+    bool are_known = ow_machine_types_are_known(core->machine_types);
+    if (discovery->is_in_flight || core->now < discovery->attempted_at + (are_known ? REFRESH_S : RETRY_S))
         return;
     discovery->attempted_at = core->now;
     /* A leader polls the cloud within its limit of requests. */
     if (core->leader == NULL)
         request_cloud_types(discovery);
-    read_stored_types(discovery);
+    if (!are_known)
+        read_stored_types(discovery);
 }
--- a/tests/cluster/test_machine_types.c
+++ b/tests/cluster/test_machine_types.c
@@ -123,6 +123,35 @@
 
 /* ---- what is learned late ---- */
 
+/* Longer than the interval at which controllers ask the cloud for its types. */
+static const double TYPES_INTERVAL_S = 70;
+
+static struct sim_cluster *start_without_gpu_type(void)
+{
+    struct sim_cluster *cluster = sim_new();
+    cluster->gpu_not_offered = true;
+    sim_start_controllers(cluster);
+    sim_add_machines(cluster, 1);
+    sim_run(cluster, 8);
+    return cluster;
+}
+
+/* Guards against jobs that get 422 for good from a controller that started before the cloud offered the type
+ * they need. */
+static void test_every_controller_learns_a_type_that_is_offered_later(void **state)
+{
+    (void)state;
+    struct sim_cluster *cluster = start_without_gpu_type();
+    cluster->gpu_not_offered = false;
+    cluster->provisionable_machines = 3;
+    sim_run(cluster, TYPES_INTERVAL_S);
+    sim_submit_accepted(cluster, 0, gpu_job("run-1", 1));
+    sim_submit_accepted(cluster, 1, gpu_job("run-2", 1));
+    sim_submit_accepted(cluster, 2, gpu_job("run-3", 1));
+    assert_true(sim_run_until(cluster, 30, sim_job_is_done, "run-3"));
+    sim_finish(cluster);
+}
+
 /* Guards against an accepted job that waits for the cloud beside a machine with room: the leader took the
  * lead before it had read the recorded types, and read them no more. */
 static void test_leader_reads_the_recorded_types_though_its_first_read_fails(void **state)
@@ -151,6 +180,7 @@
         cmocka_unit_test_setup_teardown(test_offered_type_is_used_wherever_it_stands_in_the_list,
                                         setup_one_machine_of_each_type, sim_teardown),
         cmocka_unit_test(test_every_type_of_a_long_offer_is_used),
+        cmocka_unit_test(test_every_controller_learns_a_type_that_is_offered_later),
         cmocka_unit_test_setup_teardown(test_leader_reads_the_recorded_types_though_its_first_read_fails,
                                         setup_one_machine_of_each_type, sim_teardown),
     };
--- a/tests/sim/sim_cloud.c
+++ b/tests/sim/sim_cloud.c
@@ -31,7 +31,8 @@
         add_type(types, name, 0.01, 0);
     }
     add_type(types, "big", 16, 0);
-    add_type(types, "gpu", 8, 2);
+    if (!cluster->gpu_not_offered)
+        add_type(types, "gpu", 8, 2);
     return types;
 }
 
--- a/tests/sim/sim_cluster.h
+++ b/tests/sim/sim_cluster.h
@@ -91,6 +91,7 @@
     /* The cloud. */
     bool cloud_down;                 /**< failure: answers every request 503 */
     unsigned other_types;            /**< types that it lists before "big" and "gpu" */
+    bool gpu_not_offered;            /**< it does not list the type "gpu" */
     unsigned provisionable_machines; /**< limit: the number of machines that can still be provisioned */
     unsigned provisioned_machines;   /**< number of machines provisioned so far */
     unsigned cloud_requests;         /**< requests of all kinds */
