--- a/src/core/leader/machine_type_polling.h
+++ b/src/core/leader/machine_type_polling.h
@@ -1,6 +1,7 @@
 /** @file
  * Polls the machine types from the cloud, and records them for controllers that start while the cloud is
- * down.
+ * down. Invariant: an offer that differs from the one last recorded in this term is written at each poll
+ * until a write has succeeded.
  */
 #ifndef OW_CORE_LEADER_MACHINE_TYPE_POLLING_H
 #define OW_CORE_LEADER_MACHINE_TYPE_POLLING_H
--- a/tests/cluster/test_machine_types.c
+++ b/tests/cluster/test_machine_types.c
@@ -136,6 +136,14 @@
     return cluster;
 }
 
+/* Restarts all controllers while the cloud is down. */
+static void restart_controllers_without_cloud(struct sim_cluster *cluster)
+{
+    cluster->cloud_down = true;
+    restart_controllers(cluster);
+    sim_run(cluster, 20);
+}
+
 /* Guards against jobs that get 422 for good from a controller that started before the cloud offered the type
  * they need. */
 static void test_every_controller_learns_a_type_that_is_offered_later(void **state)
@@ -170,6 +178,54 @@
     sim_check_safety(cluster);
 }
 
+/* Guards against types that are never recorded in a term whose first request to the cloud fails. */
+static void test_types_are_recorded_though_the_first_answer_of_the_cloud_is_an_error(void **state)
+{
+    (void)state;
+    struct sim_cluster *cluster = sim_new();
+    cluster->cloud_down = true;
+    sim_start_controllers(cluster);
+    sim_add_machines(cluster, 1);
+    sim_run(cluster, 8);
+    cluster->cloud_down = false;
+    sim_run(cluster, 8);
+    restart_controllers_without_cloud(cluster);
+    sim_submit_accepted(cluster, sim_follower(cluster), sim_job("run-1", 1, 1));
+    sim_finish(cluster);
+}
+
+/* Guards against types that are never recorded in a term in which the first write of them fails. */
+static void test_types_are_recorded_though_their_first_write_fails(void **state)
+{
+    (void)state;
+    struct sim_cluster *cluster = sim_new();
+    cluster->cloud_down = true;
+    sim_start_controllers(cluster);
+    sim_add_machines(cluster, 1);
+    sim_run(cluster, 8);
+    cluster->cloud_down = false;
+    cluster->store_down = true;
+    sim_run(cluster, 2.5);
+    cluster->store_down = false;
+    sim_run(cluster, TYPES_INTERVAL_S);
+    restart_controllers_without_cloud(cluster);
+    sim_submit_accepted(cluster, sim_follower(cluster), sim_job("run-1", 1, 1));
+    sim_finish(cluster);
+}
+
+/* Guards against 422 after a restart, for a type that the cloud offered only after the leader's first
+ * record. */
+static void test_a_type_that_is_offered_later_is_recorded(void **state)
+{
+    (void)state;
+    struct sim_cluster *cluster = start_without_gpu_type();
+    cluster->gpu_not_offered = false;
+    sim_run(cluster, TYPES_INTERVAL_S);
+    restart_controllers_without_cloud(cluster);
+    sim_submit_accepted(cluster, sim_follower(cluster), gpu_job("run-1", 1));
+    sim_finish(cluster);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -183,6 +239,9 @@
         cmocka_unit_test(test_every_controller_learns_a_type_that_is_offered_later),
         cmocka_unit_test_setup_teardown(test_leader_reads_the_recorded_types_though_its_first_read_fails,
                                         setup_one_machine_of_each_type, sim_teardown),
+        cmocka_unit_test(test_types_are_recorded_though_the_first_answer_of_the_cloud_is_an_error),
+        cmocka_unit_test(test_types_are_recorded_though_their_first_write_fails),
+        cmocka_unit_test(test_a_type_that_is_offered_later_is_recorded),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
