Headroom: the classes of finished jobs add no machine checks

Callers saw: nothing yet. A leader's rounds of scale out and scale in got slower with each class name that users had sent since its process began.

Cause: for every class ever seen, headroom.c went through all open jobs, and twice through all machines, before it asked whether the class has an objective, without which no machine is kept for it.

Why this works: the open jobs are counted once for all classes, and classes without an objective, for which the result could not matter, are left out before machines are looked at.

--- a/src/core/machines/headroom.c
+++ b/src/core/machines/headroom.c
@@ -60,28 +60,37 @@
     return slots;
 }
 
-/* Number of unfinished tasks of a class; `sample` is set to its newest execution, or NULL. */
-static uint32_t class_tasks(const struct ow_leader *leader, int class_index,
-                            const struct ow_execution **sample)
+/* The open jobs of a class. */
+struct class_demand {
+    uint32_t tasks;                    /* unfinished tasks */
+    const struct ow_execution *newest; /* NULL: no job is open */
+};
+
+/* The demand of every class (struct class_demand), by class index; the caller frees the array. */
+static GArray *demand_by_class(const struct ow_leader *leader)
 {
-    uint32_t tasks = 0;
-    *sample = NULL;
+    GArray *demands = g_array_new(FALSE, TRUE, sizeof(struct class_demand));
+    g_array_set_size(demands, leader->core->classes->len);
     for (guint i = 0; i < leader->executions->len; i++) {
         const struct ow_execution *execution = g_ptr_array_index(leader->executions, i);
-        if (execution->job->spec->class_index != class_index || ow_job_is_over(execution->job))
+        if (ow_job_is_over(execution->job))
             continue;
-        tasks += execution->count - execution->done;
-        if (*sample == NULL || execution->accepted_at > (*sample)->accepted_at)
-            *sample = execution;
+        struct class_demand *demand =
+            &g_array_index(demands, struct class_demand, execution->job->spec->class_index);
+        demand->tasks += execution->count - execution->done;
+        if (demand->newest == NULL || execution->accepted_at > demand->newest->accepted_at)
+            demand->newest = execution;
     }
-    return tasks;
+    return demands;
 }
 
 void ow_headroom_plan(struct ow_leader *leader, GArray *plan, unsigned *limit)
 {
-    for (guint i = 0; i < leader->core->classes->len; i++) {
-        const struct ow_execution *sample = NULL;
-        double peak = ow_class_update_peak(leader->core, (int)i, class_tasks(leader, (int)i, &sample));
+    g_autoptr(GArray) demands = demand_by_class(leader);
+    for (guint i = 0; i < demands->len; i++) {
+        const struct class_demand *demand = &g_array_index(demands, struct class_demand, i);
+        const struct ow_execution *sample = demand->newest;
+        double peak = ow_class_update_peak(leader->core, (int)i, demand->tasks);
         struct ow_expected_machine candidate;
         if (sample == NULL || !ow_instance_offers_find_cheapest(leader, sample->job->spec, INFINITY,
                                                                 OW_OFFERS_NOT_WASTEFUL, &candidate))
@@ -114,23 +123,29 @@
 /* Slots that a class needs: its recent peak plus headroom. If wasteful machines count, only the peak, so that
    they are not kept for headroom. For a quiet class only its present tasks count, or machines would be kept
    idle long after its last job. */
-static double wanted_slots(struct ow_leader *leader, int class_index, bool exclude_wasteful)
+static double wanted_slots(struct ow_leader *leader, int class_index, const struct class_demand *demand,
+                           bool exclude_wasteful)
 {
     const struct ow_class *class = ow_class_of(leader->core, class_index);
-    const struct ow_execution *sample = NULL;
     if (ow_class_is_quiet(leader->core, class_index))
-        return class_tasks(leader, class_index, &sample);
+        return demand->tasks;
     return exclude_wasteful ? class->peak * (1 + HEADROOM_SHARE) + class->largest : class->peak;
 }
 
+/* Only classes with an SLO can need a machine: the others, of which users may name any number, cost nothing
+   here. */
 static GArray *class_needs(struct ow_leader *leader)
 {
     GArray *needs = g_array_new(FALSE, FALSE, sizeof(struct class_need));
-    for (guint i = 0; i < leader->core->classes->len; i++) {
+    g_autoptr(GArray) demands = demand_by_class(leader);
+    for (guint i = 0; i < demands->len; i++) {
+        const struct class_demand *demand = &g_array_index(demands, struct class_demand, i);
         const struct ow_class *class = ow_class_of(leader->core, (int)i);
-        for (int exclude_wasteful = 0; class->seen && exclude_wasteful < 2; exclude_wasteful++) {
+        if (!class->seen || !ow_class_has_slo(leader->core, (int)i))
+            continue;
+        for (int exclude_wasteful = 0; exclude_wasteful < 2; exclude_wasteful++) {
             struct class_need need = {class, (int)i, exclude_wasteful != 0,
-                                      wanted_slots(leader, (int)i, exclude_wasteful != 0),
+                                      wanted_slots(leader, (int)i, demand, exclude_wasteful != 0),
                                       available_slots(leader, class, exclude_wasteful, NULL)};
             g_array_append_val(needs, need);
         }
--- a/tests/cluster/test_fleet.c
+++ b/tests/cluster/test_fleet.c
@@ -11,6 +11,8 @@
 /* The limit for 10 s, averaged over the machines: 100 rounds, each of which may check a machine several
  * times for each of the 3 classes. */
 enum { CHECKS_PER_MACHINE_MAX = 2000 };
+/* Jobs that each have a class of their own. */
+enum { OWN_CLASS_JOBS = 200 };
 
 static int setup_fleet(void **state)
 {
@@ -110,6 +112,18 @@
     return __real_ow_machine_is_usable(leader, m);
 }
 
+/* Checks of each machine, on average, in the next 10 s. At least `minimum` machines must be left then. */
+static double checks_per_machine(struct sim_cluster *cluster, double minimum)
+{
+    machine_checks = 0;
+    sim_run(cluster, 10);
+    double machines = 0;
+    for (guint i = 0; i < cluster->machines->len; i++)
+        machines += !sim_machine_at(cluster, i)->deleted;
+    assert_true(machines >= minimum);
+    return (double)machine_checks / machines;
+}
+
 /* Every machine is full while many jobs wait. A round must check each machine once for every class, not
  * for every waiting job: rounds once took longer than the interval between them. */
 static void test_waiting_jobs_add_no_machine_checks(void **state)
@@ -121,13 +135,25 @@
     for (int i = 0; i < 8; i++)
         jobs = submit_mixed_jobs(cluster, jobs);
     sim_run(cluster, 20);
-    machine_checks = 0;
-    sim_run(cluster, 10);
-    double machines = 0;
-    for (guint i = 0; i < cluster->machines->len; i++)
-        machines += !sim_machine_at(cluster, i)->deleted;
-    assert_true(2 * machines > MACHINES);
-    assert_true((double)machine_checks / machines < CHECKS_PER_MACHINE_MAX);
+    assert_true(checks_per_machine(cluster, MACHINES / 2.0) < CHECKS_PER_MACHINE_MAX);
+    sim_check_safety(cluster);
+}
+
+/* Guards against a leader that is slower with each class name that users have ever sent: every machine was
+ * checked for each of them. */
+static void test_classes_of_finished_jobs_add_no_machine_checks(void **state)
+{
+    struct sim_cluster *cluster = *state;
+    cluster->run_time_s = 5;
+    double checks_without_classes = checks_per_machine(cluster, 1);
+    for (int n = 0; n < OWN_CLASS_JOBS; n++) {
+        g_autofree char *class_name = g_strdup_printf("class-%d", n);
+        sim_submit(cluster, n % SIM_CONTROLLERS, job_of_class(n, class_name, 1, 1, 0, OW_RANK_STANDARD));
+    }
+    int jobs = OWN_CLASS_JOBS;
+    assert_true(sim_run_until(cluster, 60, all_jobs_done, &jobs));
+    /* Less than one more for each class. */
+    assert_true(checks_per_machine(cluster, 1) < checks_without_classes + OWN_CLASS_JOBS);
     sim_check_safety(cluster);
 }
 
@@ -157,6 +183,8 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_waiting_jobs_add_no_machine_checks, setup_fleet, sim_teardown),
+        cmocka_unit_test_setup_teardown(test_classes_of_finished_jobs_add_no_machine_checks, setup_fleet,
+                                        sim_teardown),
         cmocka_unit_test_setup_teardown(
             test_jobs_complete_after_all_controllers_restart_and_machines_are_lost, setup_fleet,
             sim_teardown),
