Scale out: the calls to the cloud are a module of their own

scale_out.c planned machines and also sent and answered the calls that provision them. The calls are now core/machines/provisioning, which owns what is in flight; scale_out asks it whether an answer has come. No behaviour is changed.

The two tests of the types' record that began alike share their beginning.

--- a/src/core/leader/leader.c
+++ b/src/core/leader/leader.c
@@ -14,6 +14,7 @@
 #include "core/machines/instance_offers.h"
 #include "core/machines/machine_health.h"
 #include "core/machines/machine_registry.h"
+#include "core/machines/provisioning.h"
 #include "core/machines/scale_out.h"
 #include "core/machines/spot_risk.h"
 #include "core/peers/leader_broadcast.h"
@@ -46,6 +47,7 @@
     leader->record_values = g_ptr_array_new_with_free_func(ow_record_value_free);
     leader->fleet = ow_fleet_new();
     leader->scale_out = ow_scale_out_new();
+    leader->provisioning = ow_provisioning_new();
     leader->offer_refusals = ow_instance_offers_new_refusals();
     leader->spot_risk = ow_spot_risk_new();
     leader->failover = ow_failover_new();
@@ -70,6 +72,7 @@
     ow_command_queue_free(leader->command_queue);
     ow_fleet_free(leader->fleet);
     ow_scale_out_free(leader->scale_out);
+    ow_provisioning_free(leader->provisioning);
     g_array_free(leader->offer_refusals, TRUE);
     ow_spot_risk_free(leader->spot_risk);
     ow_failover_free(leader->failover);
--- a/src/core/leader/leader_state.h
+++ b/src/core/leader/leader_state.h
@@ -17,6 +17,7 @@
 struct ow_fleet;
 struct ow_leader_broadcast;
 struct ow_machine_type_polling;
+struct ow_provisioning;
 struct ow_quota;
 struct ow_record_format;
 struct ow_recorder;
@@ -66,6 +67,7 @@
     struct ow_rate_limiter cloud_limiter; /**< shared by all modules that call the cloud */
     struct ow_fleet *fleet;
     struct ow_scale_out *scale_out;
+    struct ow_provisioning *provisioning;
     GArray *offer_refusals; /**< struct ow_offer_refusal: instance_offers.c */
     struct ow_spot_risk *spot_risk;
     struct ow_machine_type_polling *machine_type_polling;
--- a/tests/cluster/test_machine_types.c
+++ b/tests/cluster/test_machine_types.c
@@ -178,15 +178,21 @@
     sim_check_safety(cluster);
 }
 
-/* Guards against types that are never recorded in a term whose first request to the cloud fails. */
-static void test_types_are_recorded_though_the_first_answer_of_the_cloud_is_an_error(void **state)
+static struct sim_cluster *start_without_cloud(void)
 {
-    (void)state;
     struct sim_cluster *cluster = sim_new();
     cluster->cloud_down = true;
     sim_start_controllers(cluster);
     sim_add_machines(cluster, 1);
     sim_run(cluster, 8);
+    return cluster;
+}
+
+/* Guards against types that are never recorded in a term whose first request to the cloud fails. */
+static void test_types_are_recorded_though_the_first_answer_of_the_cloud_is_an_error(void **state)
+{
+    (void)state;
+    struct sim_cluster *cluster = start_without_cloud();
     cluster->cloud_down = false;
     sim_run(cluster, 8);
     restart_controllers_without_cloud(cluster);
@@ -198,11 +204,7 @@
 static void test_types_are_recorded_though_their_first_write_fails(void **state)
 {
     (void)state;
-    struct sim_cluster *cluster = sim_new();
-    cluster->cloud_down = true;
-    sim_start_controllers(cluster);
-    sim_add_machines(cluster, 1);
-    sim_run(cluster, 8);
+    struct sim_cluster *cluster = start_without_cloud();
     cluster->cloud_down = false;
     cluster->store_down = true;
     sim_run(cluster, 2.5);
