--- a/src/core/leader/machine_type_polling.c
+++ b/src/core/leader/machine_type_polling.c
@@ -17,8 +17,7 @@
 struct ow_machine_type_polling {
     bool is_in_flight; /* a request to the cloud */
     double next_at;    /* no call before this time */
-    GArray
-        *recorded; /* struct ow_machine_type, a reference: the offer last recorded; NULL: none in this term */
+    GArray *recorded; /* struct ow_machine_type, a reference: the offer last recorded in this term, or NULL */
 };
 
 struct ow_machine_type_polling *ow_machine_type_polling_new(void)
