--- a/src/core/type_sets.c
+++ b/src/core/type_sets.c
@@ -18,12 +18,15 @@
 
 /* ---- lists of names as keys ---- */
 
+/* The weight of the names so far when one more is added to the hash of a list. */
+enum { LIST_HASH_WEIGHT = 31 };
+
 static guint hash_names(const void *key)
 {
     char *const *names = key;
     guint hash = 0;
     for (; names != NULL && *names != NULL; names++)
-        hash = hash * 31 + g_str_hash(*names);
+        hash = hash * LIST_HASH_WEIGHT + g_str_hash(*names);
     return hash;
 }
 
--- a/tests/unit/test_type_sets.c
+++ b/tests/unit/test_type_sets.c
@@ -1,5 +1,5 @@
-/* Sets of machine types. Guards against sets whose members depend on the order in which names become known, or
- * on names that are no types. */
+/* Sets of machine types. Guards against sets whose members depend on the order in which names become known,
+ * or on names that are no types. */
 #include "check.h"
 #include "core/type_sets.h"
 
