--- a/tests/cluster/test_fleet.c
+++ b/tests/cluster/test_fleet.c
@@ -112,7 +112,7 @@
     return __real_ow_machine_is_usable(leader, m);
 }
 
-/* Checks of each machine, on average, in the next 10 s. At least `minimum` machines must be left then. */
+/* Checks of each machine, on average, in the next 10 s. More than `minimum` machines must be left then. */
 static double checks_per_machine(struct sim_cluster *cluster, double minimum)
 {
     machine_checks = 0;
@@ -120,7 +120,7 @@
     double machines = 0;
     for (guint i = 0; i < cluster->machines->len; i++)
         machines += !sim_machine_at(cluster, i)->deleted;
-    assert_true(machines >= minimum);
+    assert_true(machines > minimum);
     return (double)machine_checks / machines;
 }
 
@@ -145,7 +145,7 @@
 {
     struct sim_cluster *cluster = *state;
     cluster->run_time_s = 5;
-    double checks_without_classes = checks_per_machine(cluster, 1);
+    double checks_without_classes = checks_per_machine(cluster, 0);
     for (int n = 0; n < OWN_CLASS_JOBS; n++) {
         g_autofree char *class_name = g_strdup_printf("class-%d", n);
         sim_submit(cluster, n % SIM_CONTROLLERS, job_of_class(n, class_name, 1, 1, 0, OW_RANK_STANDARD));
@@ -153,7 +153,7 @@
     int jobs = OWN_CLASS_JOBS;
     assert_true(sim_run_until(cluster, 60, all_jobs_done, &jobs));
     /* Less than one more for each class. */
-    assert_true(checks_per_machine(cluster, 1) < checks_without_classes + OWN_CLASS_JOBS);
+    assert_true(checks_per_machine(cluster, 0) < checks_without_classes + OWN_CLASS_JOBS);
     sim_check_safety(cluster);
 }
 
