Log: a message that can't be read tells why, and 400, 404 and 422 are counted apart

Replies of the cloud and the store that can't be read passed for missing ones.

Change: io/malformed_log logs such a message with its interface, sender, size and the position and text of the error (cut short, escaped) or the name of the field, one line in 2 s for each interface, and counts all of them in a periodic line.

--- a/src/core/api/job_reply.c
+++ b/src/core/api/job_reply.c
@@ -47,8 +47,15 @@
     ow_core_reject_request(core, request, OW_HTTP_STATUS_UNAVAILABLE, text, RETRY_AFTER_S);
 }
 
+static enum ow_answer_kind kind_of_rejection(int status)
+{
+    if (status == OW_HTTP_STATUS_NOT_FOUND)
+        return OW_ANSWER_UNKNOWN_JOB;
+    return status == OW_HTTP_STATUS_BAD_REQUEST ? OW_ANSWER_MALFORMED : OW_ANSWER_IMPOSSIBLE;
+}
+
 void ow_job_reply_reject(struct ow_core *core, uint64_t request, int status, const char *text)
 {
-    ow_request_metrics_note_answer(&core->request_metrics, OW_ANSWER_REJECTED);
+    ow_request_metrics_note_answer(&core->request_metrics, kind_of_rejection(status));
     ow_core_reject_request(core, request, status, text, 0);
 }
--- a/src/core/api/request_metrics.c
+++ b/src/core/api/request_metrics.c
@@ -20,10 +20,12 @@
     const unsigned *answers = metrics->answers;
     if (count_all(metrics) == 0)
         return;
-    g_info("user requests answered: state=%u rejected=%u retry_starting=%u retry_store=%u retry_leader=%u "
+    g_info("user requests answered: state=%u malformed=%u unknown_job=%u impossible=%u "
+           "retry_starting=%u retry_store=%u retry_leader=%u "
            "retry_acknowledgement=%u retry_size=%u",
-           answers[OW_ANSWER_STATE], answers[OW_ANSWER_REJECTED], answers[OW_ANSWER_RETRY_STARTING],
-           answers[OW_ANSWER_RETRY_STORE], answers[OW_ANSWER_RETRY_LEADER],
-           answers[OW_ANSWER_RETRY_ACKNOWLEDGEMENT], answers[OW_ANSWER_RETRY_SIZE]);
+           answers[OW_ANSWER_STATE], answers[OW_ANSWER_MALFORMED], answers[OW_ANSWER_UNKNOWN_JOB],
+           answers[OW_ANSWER_IMPOSSIBLE], answers[OW_ANSWER_RETRY_STARTING], answers[OW_ANSWER_RETRY_STORE],
+           answers[OW_ANSWER_RETRY_LEADER], answers[OW_ANSWER_RETRY_ACKNOWLEDGEMENT],
+           answers[OW_ANSWER_RETRY_SIZE]);
     *metrics = (struct ow_request_metrics){0};
 }
--- a/src/core/api/request_metrics.h
+++ b/src/core/api/request_metrics.h
@@ -8,7 +8,9 @@
 /** How a request about a job is answered. */
 enum ow_answer_kind {
     OW_ANSWER_STATE,                 /**< with the state of the job */
-    OW_ANSWER_REJECTED,              /**< with an error that a repeated request would get, too */
+    OW_ANSWER_MALFORMED,             /**< 400: not a submission */
+    OW_ANSWER_UNKNOWN_JOB,           /**< 404: nobody has submitted the job */
+    OW_ANSWER_IMPOSSIBLE,            /**< 422: the job can never run */
     OW_ANSWER_RETRY_STARTING,        /**< 503: the job table or the machine types have not been read */
     OW_ANSWER_RETRY_STORE,           /**< 503: a read or write of the key-value store has failed */
     OW_ANSWER_RETRY_LEADER,          /**< 503: no leader is known, or it has just changed */
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -160,7 +160,7 @@
         ow_pending_calls_answer(core->pending_calls, event->request, event);
         break;
     case OW_EVENT_STORE:
-        ow_store_health_note_reply(core->store_health, event->store.status);
+        ow_store_health_note_reply(core->store_health, &event->store);
         ow_pending_calls_answer(core->pending_calls, event->request, event);
         break;
     case OW_EVENT_PEER:
--- a/src/core/store_health.c
+++ b/src/core/store_health.c
@@ -18,6 +18,7 @@
     unsigned limited;     /* TOO_MANY_REQUESTS */
     unsigned unavailable; /* UNAVAILABLE */
     unsigned unanswered;  /* no response */
+    unsigned unreadable;  /* a response whose body can't be read */
 };
 
 struct ow_store_health {
@@ -43,9 +44,13 @@
     g_free(health);
 }
 
-static void count_reply(struct reply_metrics *metrics, int status)
+static void count_reply(struct reply_metrics *metrics, const struct ow_store_reply *reply)
 {
-    switch (status) {
+    if (reply->is_unreadable) {
+        metrics->unreadable++;
+        return;
+    }
+    switch (reply->status) {
     case OW_HTTP_STATUS_TOO_MANY_REQUESTS:
         metrics->limited++;
         break;
@@ -64,19 +69,23 @@
 void ow_store_health_log_metrics(struct ow_store_health *health)
 {
     const struct reply_metrics *metrics = &health->metrics;
-    if (metrics->served + metrics->limited + metrics->unavailable + metrics->unanswered > 0)
-        g_info("key-value store replies: served=%u limited=%u unavailable=%u unanswered=%u", metrics->served,
-               metrics->limited, metrics->unavailable, metrics->unanswered);
+    if (metrics->served + metrics->limited + metrics->unavailable + metrics->unanswered +
+            metrics->unreadable >
+        0)
+        g_info("key-value store replies: served=%u limited=%u unavailable=%u unanswered=%u unreadable=%u",
+               metrics->served, metrics->limited, metrics->unavailable, metrics->unanswered,
+               metrics->unreadable);
     health->metrics = (struct reply_metrics){0};
 }
 
-void ow_store_health_note_reply(struct ow_store_health *health, int status)
+void ow_store_health_note_reply(struct ow_store_health *health, const struct ow_store_reply *reply)
 {
     double now = health->core->now;
-    count_reply(&health->metrics, status);
+    int status = reply->status;
+    count_reply(&health->metrics, reply);
     /* UNAVAILABLE: the key-value store can be reached, but does not serve at present. */
     bool has_failed = status == OW_HTTP_STATUS_NONE || status == OW_HTTP_STATUS_UNAVAILABLE;
-    health->is_silent = status == OW_HTTP_STATUS_NONE;
+    health->is_silent = status == OW_HTTP_STATUS_NONE && !reply->is_unreadable;
     if (status == OW_HTTP_STATUS_UNAVAILABLE)
         health->refused_at = now;
     if (!has_failed) {
--- a/src/io/daemon.c
+++ b/src/io/daemon.c
@@ -133,6 +133,7 @@
            "connections_max=%u refused_connections=%u closed_for_room=%u",
            load.rounds, load.saturated_rounds, load.longest_round_s, server.open,
            daemon->sockets_max - daemon->client_sockets_min, server.refused, server.closed_for_room);
+    ow_malformed_log_flush(daemon->malformed_log);
 }
 
 double ow_daemon_round(void *owner, double now)
@@ -204,6 +205,7 @@
     daemon->settings = settings;
     divide_sockets(daemon);
     daemon->pending_requests = ow_pending_requests_new();
+    daemon->malformed_log = ow_malformed_log_new(ow_loop_now(loop));
     daemon->manager = ow_shard_manager_new(settings, tuning, sharding, ow_rng_nonce());
     daemon->client = ow_http_client_new(loop, daemon->client_sockets_min, ow_outgoing_handle_reply, daemon);
     daemon->server = new_http_server(daemon);
@@ -225,5 +227,6 @@
     ow_http_client_free(daemon->client);
     ow_shard_manager_free(daemon->manager);
     ow_pending_requests_free(daemon->pending_requests);
+    ow_malformed_log_free(daemon->malformed_log);
     g_free(daemon);
 }
--- a/src/io/daemon_state.h
+++ b/src/io/daemon_state.h
@@ -6,6 +6,7 @@
 #include "io/http_client.h"
 #include "io/http_server.h"
 #include "io/loop.h"
+#include "io/malformed_log.h"
 #include "io/peer_link.h"
 #include "model/settings.h"
 #include "sharding/shard_manager.h"
@@ -21,6 +22,7 @@
     struct ow_http_client *client;
     struct ow_peer_links *peers;
     struct ow_pending_requests *pending_requests; /**< requests sent by `client` that have no reply yet */
+    struct ow_malformed_log *malformed_log;
     unsigned sockets_max; /**< excludes the sockets reserved for the key-value store, the cloud and other
                              controllers */
     unsigned client_sockets_min; /**< part of `sockets_max` that is always available to outgoing requests */
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -155,15 +155,29 @@
     g_free(server);
 }
 
-void ow_http_server_answer(struct ow_http_server *server, ow_request_id id, int status, const char *headers,
-                           const char *body, size_t size)
+/* Returns the connection whose current request has this id. NULL if the id is stale: the client may have
+ * disconnected, and its slot may belong to another connection now. */
+static struct ow_http_connection *connection_of_request(const struct ow_http_server *server, ow_request_id id)
 {
     struct ow_http_connection *connection = connection_at(server, (uint32_t)(id >> ID_SLOT_SHIFT));
-    /* The client may have disconnected, and its slot may belong to another connection now. */
     if (connection == NULL || !ow_http_connection_is_handling(connection) ||
         connection->serial != (uint32_t)id)
-        return;
-    ow_http_connection_answer(connection, status, headers, body, size);
+        return NULL;
+    return connection;
+}
+
+void ow_http_server_answer(struct ow_http_server *server, ow_request_id id, int status, const char *headers,
+                           const char *body, size_t size)
+{
+    struct ow_http_connection *connection = connection_of_request(server, id);
+    if (connection != NULL)
+        ow_http_connection_answer(connection, status, headers, body, size);
+}
+
+char *ow_http_server_peer(const struct ow_http_server *server, ow_request_id id)
+{
+    const struct ow_http_connection *connection = connection_of_request(server, id);
+    return connection != NULL ? ow_net_peer_endpoint(connection->watch.fd) : NULL;
 }
 
 unsigned ow_http_server_count_connections(const struct ow_http_server *server)
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -64,6 +64,8 @@
  * @param size of `body`, in bytes */
 void ow_http_server_answer(struct ow_http_server *server, ow_request_id id, int status, const char *headers,
                            const char *body, size_t size);
+/** Returns ADDRESS:PORT of the sender of a request (g_free); NULL if the id is stale. */
+char *ow_http_server_peer(const struct ow_http_server *server, ow_request_id id);
 /** Returns the number of open connections. */
 unsigned ow_http_server_count_connections(const struct ow_http_server *server);
 /** The connections of a server, for the log. */
--- a/src/io/incoming.c
+++ b/src/io/incoming.c
@@ -6,6 +6,7 @@
 #include "model/submission.h"
 #include "model/worker.h"
 #include "sharding/operator_report.h"
+#include "wire/json_reader.h"
 #include "wire/submission_json.h"
 #include "wire/user_json.h"
 #include "wire/words.h"
@@ -28,13 +29,39 @@
     answer(daemon, request->id, (int)status, wire_error_encode(text));
 }
 
+/* ---- malformed requests ---- */
+
+static void note_malformed(struct ow_daemon *daemon, const struct ow_http_request *request,
+                           enum ow_message_interface interface, const char *reason)
+{
+    g_autofree char *endpoint = ow_http_server_peer(daemon->server, request->id);
+    const struct ow_malformed_message message = {
+        .interface = interface,
+        .endpoint = endpoint,
+        .bytes = request->body_size,
+        .reason = reason,
+    };
+    ow_malformed_log_note(daemon->malformed_log, &message, ow_loop_now(daemon->loop));
+}
+
+/* The user's own error does not tell where a text stops being JSON. */
+static void note_malformed_submission(struct ow_daemon *daemon, const struct ow_http_request *request,
+                                      const GError *user_error)
+{
+    g_autoptr(GError) error = NULL;
+    json_decref(wire_json_read_object(request->body, request->body_size, &wire_submission_fields, &error));
+    note_malformed(daemon, request, OW_INTERFACE_USER, error != NULL ? error->message : user_error->message);
+}
+
 /* ---- routes ---- */
 
 static void handle_heartbeat(struct ow_daemon *daemon, const struct ow_http_request *request, const char *job)
 {
     (void)job;
-    struct ow_heartbeat *heartbeat = wire_heartbeat_decode(request->body, request->body_size);
+    g_autoptr(GError) error = NULL;
+    struct ow_heartbeat *heartbeat = wire_heartbeat_decode(request->body, request->body_size, &error);
     if (heartbeat == NULL) {
+        note_malformed(daemon, request, OW_INTERFACE_WORKER, error->message);
         answer_error(daemon, request, OW_HTTP_STATUS_BAD_REQUEST, "not a report");
         return;
     }
@@ -50,6 +77,8 @@
     g_autoptr(GError) error = NULL;
     char id[OW_ID_MAX + 1];
     struct ow_submission *submission = wire_submission_decode(request->body, request->body_size, id, &error);
+    if (submission == NULL)
+        note_malformed_submission(daemon, request, error);
     if (submission == NULL && *id == '\0') {
         answer_error(daemon, request, OW_HTTP_STATUS_BAD_REQUEST, error->message);
         return;
--- a/src/io/net.c
+++ b/src/io/net.c
@@ -2,6 +2,7 @@
 
 #include "util/endpoint.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -94,6 +95,17 @@
     close(fd);
 }
 
+char *ow_net_peer_endpoint(int fd)
+{
+    struct sockaddr_in address;
+    socklen_t size = sizeof address;
+    char text[INET_ADDRSTRLEN];
+    if (getpeername(fd, (struct sockaddr *)&address, &size) != 0 || address.sin_family != AF_INET ||
+        inet_ntop(AF_INET, &address.sin_addr, text, sizeof text) == NULL)
+        return NULL;
+    return g_strdup_printf("%s:%u", text, (unsigned)ntohs(address.sin_port));
+}
+
 int ow_net_connect_error(int fd)
 {
     int error = 0;
--- a/src/io/net.h
+++ b/src/io/net.h
@@ -28,6 +28,8 @@
 int ow_net_accept(int listener);
 /** Closes an accepted connection without serving it. */
 void ow_net_refuse(int fd);
+/** Returns ADDRESS:PORT of the other end of a connection (g_free); NULL if it is not known. */
+char *ow_net_peer_endpoint(int fd);
 /** Returns 0 if the connection is established, otherwise the errno of the failure. */
 int ow_net_connect_error(int fd);
 
--- a/src/io/outgoing.c
+++ b/src/io/outgoing.c
@@ -59,53 +59,90 @@
 
 /* ---- replies ---- */
 
-static struct ow_event *cloud_event(const struct pending_request *pending, int status, const char *body,
-                                    size_t size)
+/* A reply as it was received. */
+struct received_reply {
+    const struct pending_request *pending;
+    int status;
+    const char *body;
+    size_t size;
+};
+
+static struct ow_event *cloud_event(const struct received_reply *reply, GError **error)
 {
-    struct ow_event *event = ow_event_new(OW_EVENT_CLOUD, pending->core_tag);
-    wire_cloud_reply_decode((enum ow_cloud_op)pending->operation, status, body, size, &event->cloud);
+    struct ow_event *event = ow_event_new(OW_EVENT_CLOUD, reply->pending->core_tag);
+    wire_cloud_reply_decode((enum ow_cloud_op)reply->pending->operation, reply->status, reply->body,
+                            reply->size, &event->cloud, error);
     return event;
 }
 
-static struct ow_event *store_event(const struct pending_request *pending, int status, const char *body,
-                                    size_t size)
+static struct ow_event *store_event(const struct received_reply *reply, GError **error)
 {
-    struct ow_event *event = ow_event_new(OW_EVENT_STORE, pending->core_tag);
-    wire_store_reply_decode((enum ow_store_op)pending->operation, status, body, size, &event->store);
+    struct ow_event *event = ow_event_new(OW_EVENT_STORE, reply->pending->core_tag);
+    wire_store_reply_decode((enum ow_store_op)reply->pending->operation, reply->status, reply->body,
+                            reply->size, &event->store, error);
     return event;
 }
 
-static struct ow_event *worker_event(const struct pending_request *pending, int status, const char *body,
-                                     size_t size)
+static struct ow_event *worker_event(const struct received_reply *reply, GError **error)
 {
-    struct ow_event *event = ow_event_new(OW_EVENT_DIRECT_REPLY, pending->core_tag);
-    event->status = status;
+    struct ow_event *event = ow_event_new(OW_EVENT_DIRECT_REPLY, reply->pending->core_tag);
+    event->status = reply->status;
     /* A worker that rejects the commands also sends its status. */
-    if (status == OW_HTTP_STATUS_OK || status == OW_HTTP_STATUS_CONFLICT)
-        event->heartbeat = wire_heartbeat_decode(body, size);
+    if (reply->status == OW_HTTP_STATUS_OK || reply->status == OW_HTTP_STATUS_CONFLICT)
+        event->heartbeat = wire_heartbeat_decode(reply->body, reply->size, error);
     return event;
 }
 
-static struct ow_event *reply_event(const struct pending_request *pending, int status, const char *body,
-                                    size_t size)
+/* What a destination sends: the interface, and how its replies become events. */
+static const struct {
+    enum ow_message_interface interface;
+    struct ow_event *(*event)(const struct received_reply *reply, GError **error);
+} reply_kinds[] = {
+    [DESTINATION_STORE] = {OW_INTERFACE_STORE, store_event},
+    [DESTINATION_CLOUD] = {OW_INTERFACE_CLOUD, cloud_event},
+    [DESTINATION_WORKER] = {OW_INTERFACE_WORKER, worker_event},
+};
+
+static const char *endpoint_of(const struct ow_daemon *daemon, enum destination destination)
 {
-    switch (pending->destination) {
+    switch (destination) {
     case DESTINATION_STORE:
-        return store_event(pending, status, body, size);
+        return daemon->settings->store_endpoint;
     case DESTINATION_CLOUD:
-        return cloud_event(pending, status, body, size);
+        return daemon->settings->cloud_endpoint;
     case DESTINATION_WORKER:
         break;
     }
-    return worker_event(pending, status, body, size);
+    return NULL;
+}
+
+static void note_malformed(struct ow_daemon *daemon, const struct received_reply *reply, const char *reason)
+{
+    enum destination destination = reply->pending->destination;
+    const struct ow_malformed_message message = {
+        .interface = reply_kinds[destination].interface,
+        .endpoint = endpoint_of(daemon, destination),
+        .bytes = reply->size,
+        .reason = reason,
+    };
+    ow_malformed_log_note(daemon->malformed_log, &message, ow_loop_now(daemon->loop));
 }
 
 void ow_outgoing_handle_reply(void *owner, uint64_t tag, int status, const char *body, size_t size)
 {
     struct ow_daemon *daemon = owner;
     GHashTable *by_tag = daemon->pending_requests->by_tag;
-    const struct pending_request *pending = g_hash_table_lookup(by_tag, &tag);
-    ow_shard_manager_push(daemon->manager, reply_event(pending, status, body, size));
+    g_autoptr(GError) error = NULL;
+    const struct received_reply reply = {
+        .pending = g_hash_table_lookup(by_tag, &tag),
+        .status = status,
+        .body = body,
+        .size = size,
+    };
+    struct ow_event *event = reply_kinds[reply.pending->destination].event(&reply, &error);
+    if (error != NULL)
+        note_malformed(daemon, &reply, error->message);
+    ow_shard_manager_push(daemon->manager, event);
     g_hash_table_remove(by_tag, &tag);
 }
 
--- a/src/model/store.h
+++ b/src/model/store.h
@@ -80,6 +80,7 @@
      * carried out, or may be later. BAD_REQUEST: the transaction or a value in it is too large. CONFLICT: a
      * comparison did not hold, and nothing was changed. */
     int status;
+    bool is_unreadable; /**< there was a response, but its body can't be read; the status is NONE */
     uint64_t revision;  /**< current revision of the store; transaction: the revision that it created */
     uint64_t lease;     /**< grant: the new lease */
     bool has_more;      /**< list: there are more pages */
--- a/src/wire/cloud_json.c
+++ b/src/wire/cloud_json.c
@@ -2,6 +2,7 @@
 
 #include "model/http_status.h"
 #include "wire/json.h"
+#include "wire/json_reader.h"
 #include "wire/words.h"
 
 /* Maximum number of machines in one page of a list. */
@@ -186,22 +187,33 @@
     return op == OW_CLOUD_LIST ? &list_fields : &provisioned_fields;
 }
 
-void wire_cloud_reply_decode(enum ow_cloud_op op, int status, const char *body, size_t size,
-                             struct ow_cloud_reply *reply)
+/* Reads the body of a successful request. Returns false if it is invalid. */
+static bool read_success(enum ow_cloud_op op, const json_t *object, struct ow_cloud_reply *reply)
 {
-    reply->status = status;
-    if (status != OW_HTTP_STATUS_OK || op == OW_CLOUD_TERMINATE)
-        return;
-    json_auto_t *object = wire_json_parse_object(body, size, fields_of_reply(op));
-    if (object == NULL)
-        return;
-    if (op == OW_CLOUD_TYPES) {
+    switch (op) {
+    case OW_CLOUD_TYPES:
         reply->types = wire_machine_types_from_json(object);
-    } else if (op == OW_CLOUD_PROVISION) {
+        return reply->types != NULL;
+    case OW_CLOUD_PROVISION:
         reply->provisioned = wire_json_copy_strings(json_object_get(object, W_MACHINES));
-    } else {
+        return reply->provisioned != NULL;
+    case OW_CLOUD_LIST:
         reply->listed = listed_machines_from_json(object);
-        if (reply->listed != NULL)
-            wire_json_get_bool(object, W_MORE, &reply->has_more);
+        wire_json_get_bool(object, W_MORE, &reply->has_more);
+        return reply->listed != NULL;
+    case OW_CLOUD_TERMINATE:
+        return true;
     }
+    return false;
+}
+
+void wire_cloud_reply_decode(enum ow_cloud_op op, int status, const char *body, size_t size,
+                             struct ow_cloud_reply *reply, GError **error)
+{
+    reply->status = status;
+    if (status != OW_HTTP_STATUS_OK || op == OW_CLOUD_TERMINATE)
+        return;
+    json_auto_t *object = wire_json_read_object(body, size, fields_of_reply(op), error);
+    if (object != NULL && !read_success(op, object, reply))
+        wire_json_fail_field(op == OW_CLOUD_TYPES ? W_TYPES : W_MACHINES, error);
 }
--- a/src/wire/cloud_json.h
+++ b/src/wire/cloud_json.h
@@ -22,9 +22,10 @@
  * @param status HTTP status; OW_HTTP_STATUS_NONE: no response
  * @param body `size` bytes; not NULL if the status is 200
  * @param reply an empty reply; all members but the tag are set; cleared by the caller
+ * @param error set, in the domain WIRE_JSON_ERROR, if the body is invalid; may be NULL
  */
 void wire_cloud_reply_decode(enum ow_cloud_op op, int status, const char *body, size_t size,
-                             struct ow_cloud_reply *reply);
+                             struct ow_cloud_reply *reply, GError **error);
 
 /** Encodes machine types as they are stored. @param types struct ow_machine_type @return owned (g_free) */
 char *wire_machine_types_encode(const GArray *types);
--- a/src/wire/json.c
+++ b/src/wire/json.c
@@ -13,11 +13,10 @@
     return wire_json_read_object(text, size, fields, NULL);
 }
 
-char *wire_json_describe_error(const char *text, size_t size, const struct wire_json_fields *fields)
+bool wire_json_fail_field(const char *field, GError **error)
 {
-    g_autoptr(GError) error = NULL;
-    json_decref(wire_json_read_object(text, size, fields, &error));
-    return error != NULL ? g_strdup(error->message) : NULL;
+    g_set_error(error, WIRE_JSON_ERROR, WIRE_JSON_ERROR_FIELD, "%s: missing or invalid", field);
+    return false;
 }
 
 static void print_string(yajl_gen generator, const char *string, size_t size)
--- a/src/wire/json.h
+++ b/src/wire/json.h
@@ -13,24 +13,23 @@
 #include "wire/json_fields.h"
 #include "wire/json_number.h"
 
+#include <glib.h>
 #include <jansson.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 /**
- * Parses a JSON object. Fields that are not known are skipped.
+ * Parses a JSON object where nobody asks why it fails (wire_json_read_object() tells). Fields that are not
+ * known are skipped.
  * @param text `size` bytes; may be NULL if there are none
  * @param fields known fields of the object
  * @return a new reference; NULL unless the text is one JSON object that repeats no known field
  */
 json_t *wire_json_parse_object(const char *text, size_t size, const struct wire_json_fields *fields);
 
-/**
- * Tells why wire_json_parse_object() returns NULL.
- * @return "byte N: " and the reason, owned by the caller (g_free); NULL if it would not return NULL
- */
-char *wire_json_describe_error(const char *text, size_t size, const struct wire_json_fields *fields);
+/** Sets an error in the domain WIRE_JSON_ERROR that names a missing or invalid field. @return false */
+bool wire_json_fail_field(const char *field, GError **error);
 
 /** Serializes a value without white space. Members keep their order. @return owned by the caller (g_free) */
 char *wire_json_print(json_t *value);
--- a/src/wire/json_reader.c
+++ b/src/wire/json_reader.c
@@ -149,9 +149,17 @@
 
 /* ---- texts ---- */
 
-static void set_error(GError **error, enum wire_json_error code, size_t position, const char *reason)
+/* Bytes of the text on each side of an error that its message shows. */
+enum { EXCERPT_BYTES = 24 };
+
+static void set_error(const struct reader *reader, enum wire_json_error code, size_t position,
+                      const char *reason, GError **error)
 {
-    g_set_error(error, WIRE_JSON_ERROR, (gint)code, "byte %zu: %s", position, reason);
+    size_t begin = position - MIN(position, EXCERPT_BYTES);
+    size_t end = MIN(reader->size, position + EXCERPT_BYTES);
+    g_autofree char *excerpt = g_strndup(reader->text + begin, end - begin);
+    g_autofree char *escaped = g_strescape(excerpt, NULL);
+    g_set_error(error, WIRE_JSON_ERROR, (gint)code, "byte %zu: %s, near %s", position, reason, escaped);
 }
 
 /* yajl takes vertical tabs and form feeds for white space. Neither may occur anywhere in a JSON text. */
@@ -162,17 +170,18 @@
 }
 
 /* Checks what yajl does not: its own check of UTF-8 accepts overlong forms and surrogates. */
-static bool check_characters(const char *text, size_t size, GError **error)
+static bool check_characters(const struct reader *reader, GError **error)
 {
+    const char *text = reader->text;
     const char *invalid = NULL;
-    if (!g_utf8_validate_len(text, size, &invalid)) {
-        set_error(error, WIRE_JSON_ERROR_SYNTAX, (size_t)(invalid - text), "not UTF-8");
+    if (!g_utf8_validate_len(text, reader->size, &invalid)) {
+        set_error(reader, WIRE_JSON_ERROR_SYNTAX, (size_t)(invalid - text), "not UTF-8", error);
         return false;
     }
-    const char *space = find_foreign_space(text, size);
+    const char *space = find_foreign_space(text, reader->size);
     if (space == NULL)
         return true;
-    set_error(error, WIRE_JSON_ERROR_SYNTAX, (size_t)(space - text), "a control character");
+    set_error(reader, WIRE_JSON_ERROR_SYNTAX, (size_t)(space - text), "a control character", error);
     return false;
 }
 
@@ -190,20 +199,23 @@
     unsigned char *message = yajl_get_error(reader->parser, 0, NULL, 0);
     g_autofree char *line = g_strdelimit(g_strdup((const char *)message), "\n", ' ');
     yajl_free_error(reader->parser, message);
-    set_error(error, WIRE_JSON_ERROR_SYNTAX, yajl_get_bytes_consumed(reader->parser), g_strstrip(line));
+    set_error(reader, WIRE_JSON_ERROR_SYNTAX, yajl_get_bytes_consumed(reader->parser), g_strstrip(line),
+              error);
 }
 
 static bool run(struct reader *reader, GError **error)
 {
     yajl_status status = yajl_parse(reader->parser, (const unsigned char *)reader->text, reader->size);
     if (reader->stop_reason != NULL)
-        set_error(error, reader->error_code, yajl_get_bytes_consumed(reader->parser), reader->stop_reason);
+        set_error(reader, reader->error_code, yajl_get_bytes_consumed(reader->parser), reader->stop_reason,
+                  error);
     else if (status != yajl_status_ok)
         set_syntax_error(reader, error);
     else if (reader->root_end == 0)
-        set_error(error, WIRE_JSON_ERROR_SYNTAX, reader->size, "the text ends before its object does");
+        set_error(reader, WIRE_JSON_ERROR_SYNTAX, reader->size, "the text ends before its object does",
+                  error);
     else if (!has_only_space_after_root(reader))
-        set_error(error, WIRE_JSON_ERROR_SYNTAX, reader->root_end, "something follows the object");
+        set_error(reader, WIRE_JSON_ERROR_SYNTAX, reader->root_end, "something follows the object", error);
     else
         return true;
     return false;
@@ -212,13 +224,13 @@
 json_t *wire_json_read_object(const char *text, size_t size, const struct wire_json_fields *fields,
                               GError **error)
 {
+    struct reader reader = {.text = text, .size = size};
     if (size == 0) {
-        set_error(error, WIRE_JSON_ERROR_SYNTAX, 0, "the text is empty");
+        g_set_error_literal(error, WIRE_JSON_ERROR, WIRE_JSON_ERROR_SYNTAX, "byte 0: the text is empty");
         return NULL;
     }
-    if (!check_characters(text, size, error))
+    if (!check_characters(&reader, error))
         return NULL;
-    struct reader reader = {.text = text, .size = size};
     wire_json_builder_init(&reader.builder, fields);
     reader.parser = yajl_alloc(&callbacks, NULL, &reader);
     yajl_config(reader.parser, yajl_dont_validate_strings, 1);
--- a/src/wire/json_reader.h
+++ b/src/wire/json_reader.h
@@ -18,11 +18,13 @@
 /** Returns the quark of WIRE_JSON_ERROR. */
 GQuark wire_json_error_quark(void);
 
-/** Error codes in the domain WIRE_JSON_ERROR. The messages begin with the position, as "byte N: ". */
+/** Error codes in the domain WIRE_JSON_ERROR. Messages about the text begin with the position, as "byte N: ",
+ * and end with the text near it, cut short and escaped. */
 enum wire_json_error {
     WIRE_JSON_ERROR_SYNTAX,     /**< not JSON in UTF-8, or more than one value */
     WIRE_JSON_ERROR_NOT_OBJECT, /**< JSON, but not an object */
     WIRE_JSON_ERROR_REPEATED,   /**< a known field occurs twice in an object */
+    WIRE_JSON_ERROR_FIELD,      /**< a field is missing or invalid; the message begins with its name */
 };
 
 /**
--- a/src/wire/store_json.c
+++ b/src/wire/store_json.c
@@ -2,6 +2,7 @@
 
 #include "model/http_status.h"
 #include "wire/json.h"
+#include "wire/json_reader.h"
 #include "wire/words.h"
 
 #include <inttypes.h>
@@ -232,17 +233,26 @@
            status == OW_HTTP_STATUS_NOT_FOUND;
 }
 
+/* Reads the body of a successful request. Returns false and sets the error if it is invalid. */
+static bool read_required_body(enum ow_store_op op, const json_t *object, struct ow_store_reply *reply,
+                               GError **error)
+{
+    return object != NULL && (read_success(op, object, reply) || wire_json_fail_field("a field", error));
+}
+
 void wire_store_reply_decode(enum ow_store_op op, int status, const char *body, size_t size,
-                             struct ow_store_reply *reply)
+                             struct ow_store_reply *reply, GError **error)
 {
-    json_auto_t *object =
-        has_body(status) ? wire_json_parse_object(body, size, fields_of_reply(op, status)) : NULL;
+    /* The status alone confirms the renewal of a lease. */
+    bool needs_body = status == OW_HTTP_STATUS_OK && op != OW_STORE_KEEP_ALIVE;
+    json_auto_t *object = has_body(status) ? wire_json_read_object(body, size, fields_of_reply(op, status),
+                                                                   needs_body ? error : NULL)
+                                           : NULL;
     reply->status = status;
     reply->items = g_array_new(FALSE, FALSE, sizeof(struct ow_store_item));
     g_array_set_clear_func(reply->items, clear_item);
-    /* The status alone confirms the renewal of a lease. */
-    bool needs_body = status == OW_HTTP_STATUS_OK && op != OW_STORE_KEEP_ALIVE;
-    if (needs_body && (object == NULL || !read_success(op, object, reply)))
+    reply->is_unreadable = needs_body && !read_required_body(op, object, reply, error);
+    if (reply->is_unreadable)
         reply->status = OW_HTTP_STATUS_NONE;
     if (status == OW_HTTP_STATUS_CONFLICT && object != NULL)
         reply->failed_keys = wire_json_copy_strings(json_object_get(object, W_FAILED_KEYS));
--- a/src/wire/store_json.h
+++ b/src/wire/store_json.h
@@ -7,6 +7,7 @@
 #include "model/store.h"
 #include "wire/http_request.h"
 
+#include <glib.h>
 #include <stddef.h>
 
 /** Encodes a request as HTTP. @return to be cleared by the caller */
@@ -19,8 +20,9 @@
  * @param status HTTP status; OW_HTTP_STATUS_NONE: no response
  * @param body `size` bytes
  * @param reply an empty reply; all members but the tag are set; cleared by the caller
+ * @param error set, in the domain WIRE_JSON_ERROR, if the body is invalid; may be NULL
  */
 void wire_store_reply_decode(enum ow_store_op op, int status, const char *body, size_t size,
-                             struct ow_store_reply *reply);
+                             struct ow_store_reply *reply, GError **error);
 
 #endif
--- a/src/wire/worker_json.c
+++ b/src/wire/worker_json.c
@@ -3,6 +3,7 @@
 #include "model/submission.h"
 #include "model/worker.h"
 #include "wire/json.h"
+#include "wire/json_reader.h"
 #include "wire/submission_json.h"
 #include "wire/words.h"
 
@@ -145,30 +146,42 @@
     return wire_json_print_and_unref(object);
 }
 
-/* Copies the string of a required field. */
-static bool copy_string(const json_t *object, const char *field, char **out)
+static bool read_required_string(const json_t *object, const char *field, char **out, GError **error)
 {
     const char *text = NULL;
     if (!wire_json_get_string(object, field, &text))
-        return false;
+        return wire_json_fail_field(field, error);
     *out = g_strdup(text);
     return true;
 }
 
-struct ow_heartbeat *wire_heartbeat_decode(const char *text, size_t size)
+static bool read_required_count(const json_t *object, const char *field, uint64_t *out, GError **error)
+{
+    return wire_json_get_count(object, field, out) || wire_json_fail_field(field, error);
+}
+
+/* Reads the fields that a heartbeat must have. */
+static bool read_required_fields(const json_t *object, struct ow_heartbeat *heartbeat, GError **error)
+{
+    return read_required_count(object, W_INCARNATION, &heartbeat->incarnation, error) &&
+           read_required_count(object, W_SEQUENCE, &heartbeat->sequence, error) &&
+           read_required_string(object, W_MACHINE, &heartbeat->machine, error) &&
+           read_required_string(object, W_ADDRESS, &heartbeat->addr, error) &&
+           read_required_string(object, W_TYPE, &heartbeat->type, error) &&
+           read_required_string(object, W_ZONE, &heartbeat->zone, error) &&
+           (task_statuses_from_json(json_object_get(object, W_TASKS), heartbeat->tasks) ||
+            wire_json_fail_field(W_TASKS, error));
+}
+
+struct ow_heartbeat *wire_heartbeat_decode(const char *text, size_t size, GError **error)
 {
-    json_auto_t *object = wire_json_parse_object(text, size, &heartbeat_fields);
+    json_auto_t *object = wire_json_read_object(text, size, &heartbeat_fields, error);
     if (object == NULL)
         return NULL;
     g_autoptr(ow_heartbeat) heartbeat = g_new0(struct ow_heartbeat, 1);
     heartbeat->tasks = g_array_new(FALSE, FALSE, sizeof(struct ow_task_status));
     heartbeat->reclaim_notice_s = -1;
-    if (!wire_json_get_count(object, W_INCARNATION, &heartbeat->incarnation) ||
-        !wire_json_get_count(object, W_SEQUENCE, &heartbeat->sequence) ||
-        !copy_string(object, W_MACHINE, &heartbeat->machine) ||
-        !copy_string(object, W_ADDRESS, &heartbeat->addr) || !copy_string(object, W_TYPE, &heartbeat->type) ||
-        !copy_string(object, W_ZONE, &heartbeat->zone) ||
-        !task_statuses_from_json(json_object_get(object, W_TASKS), heartbeat->tasks))
+    if (!read_required_fields(object, heartbeat, error))
         return NULL;
     wire_json_get_bool(object, W_SPOT, &heartbeat->spot);
     wire_json_get_count(object, W_FENCING_TOKEN, &heartbeat->fencing_token);
--- a/src/wire/worker_json.h
+++ b/src/wire/worker_json.h
@@ -18,9 +18,10 @@
  * Decodes a heartbeat, for controllers. One invalid task makes the whole heartbeat malformed, because a
  * skipped task would look like one that has ended. An unknown cause is read as OW_CAUSE_ERROR.
  * @param text `size` bytes
+ * @param error set, in the domain WIRE_JSON_ERROR, if it is malformed; may be NULL
  * @return owned by the caller; NULL if malformed
  */
-struct ow_heartbeat *wire_heartbeat_decode(const char *text, size_t size);
+struct ow_heartbeat *wire_heartbeat_decode(const char *text, size_t size, GError **error);
 
 /**
  * Encodes the answer to a heartbeat, for leaders.
--- a/tests/benchmark/json_cost.c
+++ b/tests/benchmark/json_cost.c
@@ -20,7 +20,7 @@
 
 static void read_heartbeat(const char *text, size_t size)
 {
-    ow_heartbeat_free(wire_heartbeat_decode(text, size));
+    ow_heartbeat_free(wire_heartbeat_decode(text, size, NULL));
 }
 
 static void read_submission(const char *text, size_t size)
@@ -32,7 +32,7 @@
 static void read_machine_list(const char *text, size_t size)
 {
     struct ow_cloud_reply reply = {0};
-    wire_cloud_reply_decode(OW_CLOUD_LIST, OW_HTTP_STATUS_OK, text, size, &reply);
+    wire_cloud_reply_decode(OW_CLOUD_LIST, OW_HTTP_STATUS_OK, text, size, &reply, NULL);
     ow_cloud_reply_clear(&reply);
 }
 
--- a/tests/unit/json_interface_readers.c
+++ b/tests/unit/json_interface_readers.c
@@ -46,7 +46,7 @@
 
 char *json_read_heartbeat(const char *text, size_t size)
 {
-    g_autoptr(ow_heartbeat) heartbeat = wire_heartbeat_decode(text, size);
+    g_autoptr(ow_heartbeat) heartbeat = wire_heartbeat_decode(text, size, NULL);
     return heartbeat != NULL ? wire_heartbeat_encode(heartbeat) : NULL;
 }
 
@@ -90,7 +90,7 @@
 static char *read_cloud_reply(enum ow_cloud_op op, const char *text, size_t size)
 {
     struct ow_cloud_reply reply = {0};
-    wire_cloud_reply_decode(op, OW_HTTP_STATUS_OK, text, size, &reply);
+    wire_cloud_reply_decode(op, OW_HTTP_STATUS_OK, text, size, &reply, NULL);
     char *read = cloud_reply_to_text(&reply);
     ow_cloud_reply_clear(&reply);
     return read;
@@ -178,7 +178,7 @@
 static char *read_store_reply(enum ow_store_op op, int status, const char *text, size_t size)
 {
     struct ow_store_reply reply = {0};
-    wire_store_reply_decode(op, status, text, size, &reply);
+    wire_store_reply_decode(op, status, text, size, &reply, NULL);
     g_autofree char *failed = reply.failed_keys != NULL ? g_strjoinv(" ", reply.failed_keys) : NULL;
     GString *result = g_string_new(NULL);
     g_string_append_printf(result, "%d %" PRIu64 " %" PRIu64 " %d %s", reply.status, reply.revision,
--- a/tests/unit/test_agent.c
+++ b/tests/unit/test_agent.c
@@ -100,7 +100,7 @@
     g_array_append_val(heartbeat.tasks, running);
     g_array_append_val(heartbeat.tasks, stopped);
     char *text = wire_heartbeat_encode(&heartbeat);
-    struct ow_heartbeat *decoded = wire_heartbeat_decode(text, strlen(text));
+    struct ow_heartbeat *decoded = wire_heartbeat_decode(text, strlen(text), NULL);
     assert_non_null(decoded);
     assert_string_equal(decoded->machine, "m-1");
     assert_true(decoded->spot && decoded->incarnation == 3 && decoded->sequence == 8 &&
--- a/tests/unit/test_exact_counts.c
+++ b/tests/unit/test_exact_counts.c
@@ -31,13 +31,13 @@
         "{\"perch\":\"n\",\"addr\":\"a:1\",\"breed\":\"g8\",\"range\":\"a\",\"windfall\":true,\"stint\":%s,"
         "\"chirp\":%s,\"crest\":%s,\"talons\":[{\"talon\":\"run-1/0\",\"dive\":%s,\"stance\":\"running\"}]}",
         spelling, spelling, spelling, spelling);
-    g_autoptr(ow_heartbeat) heartbeat = wire_heartbeat_decode(text, strlen(text));
+    g_autoptr(ow_heartbeat) heartbeat = wire_heartbeat_decode(text, strlen(text), NULL);
     assert_non_null(heartbeat);
     assert_true(heartbeat->incarnation == count && heartbeat->sequence == count &&
                 heartbeat->fencing_token == count);
     assert_true(g_array_index(heartbeat->tasks, struct ow_task_status, 0).attempt == count);
     g_autofree char *encoded = wire_heartbeat_encode(heartbeat);
-    g_autoptr(ow_heartbeat) again = wire_heartbeat_decode(encoded, strlen(encoded));
+    g_autoptr(ow_heartbeat) again = wire_heartbeat_decode(encoded, strlen(encoded), NULL);
     assert_non_null(again);
     assert_true(again->incarnation == count && again->sequence == count && again->fencing_token == count);
 }
@@ -66,7 +66,7 @@
         "{\"pairs\":[{\"k\":\"a\",\"value\":{\"v\":%s},\"mark\":%s}],\"has_next\":false,\"tide\":%s}",
         spelling, spelling, spelling);
     struct ow_store_reply reply = {0};
-    wire_store_reply_decode(OW_STORE_LIST, 200, text, strlen(text), &reply);
+    wire_store_reply_decode(OW_STORE_LIST, 200, text, strlen(text), &reply, NULL);
     assert_int_equal(reply.status, 200);
     const struct ow_store_item *item = &g_array_index(reply.items, struct ow_store_item, 0);
     uint64_t value = ~count;
@@ -74,7 +74,7 @@
     assert_true(item->mod_revision == count && reply.revision == count);
     ow_store_reply_clear(&reply);
     g_autofree char *lease = g_strdup_printf("{\"tether\":%s}", spelling);
-    wire_store_reply_decode(OW_STORE_GRANT_LEASE, 200, lease, strlen(lease), &reply);
+    wire_store_reply_decode(OW_STORE_GRANT_LEASE, 200, lease, strlen(lease), &reply, NULL);
     assert_true(reply.status == 200 && reply.lease == count);
     ow_store_reply_clear(&reply);
 }
--- a/tests/unit/test_worker_cloud_wire.c
+++ b/tests/unit/test_worker_cloud_wire.c
@@ -17,7 +17,7 @@
 static void test_heartbeat_is_parsed_completely_or_not_at_all(void **state)
 {
     (void)state;
-    struct ow_heartbeat *parsed = wire_heartbeat_decode(heartbeat, strlen(heartbeat));
+    struct ow_heartbeat *parsed = wire_heartbeat_decode(heartbeat, strlen(heartbeat), NULL);
     assert_non_null(parsed);
     assert_true(parsed->incarnation == 1 && parsed->sequence == 88 && parsed->fencing_token == 41 &&
                 parsed->reclaim_notice_s == 7.5 && parsed->tasks->len == 2);
@@ -28,7 +28,7 @@
     /* One malformed task invalidates the whole heartbeat: if it were left out, it would look ended. */
     char **parts = g_strsplit(heartbeat, "run-000398/0", 2);
     char *text = g_strjoinv("run-000398", parts);
-    assert_null(wire_heartbeat_decode(text, strlen(text)));
+    assert_null(wire_heartbeat_decode(text, strlen(text), NULL));
     g_free(text);
     g_strfreev(parts);
 }
@@ -55,14 +55,14 @@
         "{\"perches\":[{\"ref\":\"n-7\",\"addr\":\"10.1.0.2:9000\",\"breed\":\"g8\",\"range\":\"a\","
         "\"windfall\":true,\"stance\":\"running\",\"age_s\":61.5},{\"ref\":\"n-8\"}],\"has_next\":true}";
     struct ow_cloud_reply reply = {0};
-    wire_cloud_reply_decode(OW_CLOUD_LIST, OW_HTTP_STATUS_OK, list, strlen(list), &reply);
+    wire_cloud_reply_decode(OW_CLOUD_LIST, OW_HTTP_STATUS_OK, list, strlen(list), &reply, NULL);
     assert_non_null(reply.listed);
     assert_true(reply.has_more && reply.listed->len == 1);
     assert_true(g_array_index(reply.listed, struct ow_listed_machine, 0).state == OW_LISTED_RUNNING);
     ow_cloud_reply_clear(&reply);
-    wire_cloud_reply_decode(OW_CLOUD_LIST, OW_HTTP_STATUS_OK, "{}", 2, &reply);
+    wire_cloud_reply_decode(OW_CLOUD_LIST, OW_HTTP_STATUS_OK, "{}", 2, &reply, NULL);
     assert_null(reply.listed);
-    wire_cloud_reply_decode(OW_CLOUD_TYPES, OW_HTTP_STATUS_OK, "[]", 2, &reply);
+    wire_cloud_reply_decode(OW_CLOUD_TYPES, OW_HTTP_STATUS_OK, "[]", 2, &reply, NULL);
     assert_null(reply.types);
 }
 
