Tests: a launch that is held up past its job's cancellation does not start

What bounds a launch in flight: the acknowledgement waits until every attempt is seen running or proven gone, and a worker keeps an attempt whose launch is not acknowledged (clear_ended), or its machine is terminated.

The simulated cluster executes commands to a hung machine when it goes on, as PROTOCOL says, and can keep some commands held up while others pass.

--- a/tests/sim/sim_cluster.h
+++ b/tests/sim/sim_cluster.h
@@ -102,6 +102,7 @@
     GHashTable *last_machine_of_task; /**< "<job>/<task>" -> struct sim_machine of its last launch */
     double run_time_s;                /**< the run time of tasks of arrays and gangs */
     bool delay_direct_commands;       /**< failure: direct commands are delayed while it is set */
+    bool keep_commands_delayed;       /**< failure: commands that are already delayed stay so */
     bool no_sockets;                  /**< failure: controllers have no free sockets for direct commands */
     GArray *delayed_commands;         /**< struct delayed_command: in flight to workers */
     unsigned direct_commands_sent;    /**< number of requests with direct commands */
--- a/tests/sim/sim_workers.c
+++ b/tests/sim/sim_workers.c
@@ -117,6 +117,13 @@
     }
 }
 
+/* Whether direct commands to the machine are kept for later: they are executed once it can be reached, or
+ * goes on. */
+static bool holds_commands(const struct sim_cluster *cluster, const struct sim_machine *machine)
+{
+    return machine->partitioned || machine->hung || cluster->delay_direct_commands;
+}
+
 /* Keeps the commands for later delivery, since a partition delays packets and does not drop them. Takes
  * ownership of the commands out of the effect. */
 static void delay_commands(struct sim_cluster *cluster, const struct sim_machine *machine,
@@ -156,7 +163,7 @@
         after_s = 0;
     } else if (!exists || machine->hung || machine->unresponsive || cluster->delay_direct_commands ||
                is_partitioned(cluster, machine, controller)) {
-        if (exists && (machine->partitioned || cluster->delay_direct_commands))
+        if (exists && holds_commands(cluster, machine))
             delay_commands(cluster, machine, effect);
         after_s = DIRECT_TIMEOUT_S;
     } else {
@@ -168,11 +175,13 @@
 
 static void release_delayed_commands(struct sim_cluster *cluster)
 {
+    if (cluster->keep_commands_delayed)
+        return;
     for (guint i = cluster->delayed_commands->len; i > 0; i--) {
         struct delayed_command *delayed =
             &g_array_index(cluster->delayed_commands, struct delayed_command, i - 1);
         struct sim_machine *machine = sim_machine(cluster, delayed->machine);
-        if (!machine->deleted && (machine->partitioned || cluster->delay_direct_commands))
+        if (!machine->deleted && holds_commands(cluster, machine))
             continue;
         if (!machine->deleted && delayed->fencing_token >= machine->fencing_token &&
             delayed->incarnation == machine->incarnation) {
