--- a/tests/sim/sim_cloud.c
+++ b/tests/sim/sim_cloud.c
@@ -1,5 +1,6 @@
 /* The simulated cloud: machine types, and the listing, provisioning and termination of machines. Tests may
- * take it down (`cloud_down`) and limit the machines that can be provisioned (`provisionable_machines`);
+ * take it down (`cloud_down`), limit the machines that can be provisioned (`provisionable_machines`) and have
+ * requests carried out late (`delay_provisions`, `delay_terminations`);
  * sim_delete_machine() reclaims a machine. */
 #include "sim_internal.h"
 #include "model/cloud.h"
@@ -8,6 +9,8 @@
 #include <string.h>
 
 enum { PAGE_MACHINES = 500 };
+/* After this time a controller takes a request for unanswered. */
+static const double CLOUD_TIMEOUT_S = 8;
 
 static void add_type(GArray *types, const char *name, double cpus, double gpus)
 {
@@ -44,7 +47,10 @@
     g_array_set_clear_func(list, ow_listed_machine_clear);
     bool started = after == NULL;
     *more = false;
-    for (guint i = 0; i < cluster->machines->len && !*more; i++) {
+    guint count = cluster->machines->len;
+    if (cluster->listed_machines_max > 0)
+        count = MIN(count, cluster->listed_machines_max);
+    for (guint i = 0; i < count && !*more; i++) {
         const struct sim_machine *machine = sim_machine_at(cluster, i);
         if (!started) {
             started = strcmp(machine->name, after) == 0;
@@ -95,23 +101,81 @@
     }
 }
 
+static bool is_delayed(const struct sim_cluster *cluster, enum ow_cloud_op op)
+{
+    return (op == OW_CLOUD_PROVISION && cluster->delay_provisions) ||
+           (op == OW_CLOUD_TERMINATE && cluster->delay_terminations);
+}
+
+static void delay_request(struct sim_cluster *cluster, const struct ow_cloud_request *request)
+{
+    struct ow_cloud_request *copy = g_new0(struct ow_cloud_request, 1);
+    copy->op = request->op;
+    copy->type = g_strdup(request->type);
+    copy->zone = g_strdup(request->zone);
+    copy->spot = request->spot;
+    copy->count = request->count;
+    copy->machines = g_ptr_array_new_with_free_func(g_free);
+    for (guint i = 0; request->machines != NULL && i < request->machines->len; i++)
+        g_ptr_array_add(copy->machines, g_strdup(g_ptr_array_index(request->machines, i)));
+    g_ptr_array_add(cluster->delayed_cloud_requests, copy);
+}
+
+/* Carries out a request whose sender no longer waits for the answer. */
+static void carry_out_late(struct sim_cluster *cluster, const struct ow_cloud_request *request)
+{
+    struct ow_cloud_reply reply = {0};
+    if (request->op == OW_CLOUD_PROVISION)
+        provision(cluster, request, &reply);
+    else
+        terminate(cluster, request->machines);
+    ow_cloud_reply_clear(&reply);
+}
+
+void sim_cloud_step(struct sim_cluster *cluster)
+{
+    for (guint i = cluster->delayed_cloud_requests->len; i > 0; i--) {
+        const struct ow_cloud_request *request = g_ptr_array_index(cluster->delayed_cloud_requests, i - 1);
+        if (is_delayed(cluster, request->op))
+            continue;
+        carry_out_late(cluster, request);
+        g_ptr_array_remove_index(cluster->delayed_cloud_requests, i - 1);
+    }
+}
+
+static void carry_out(struct sim_cluster *cluster, const struct ow_cloud_request *request,
+                      struct ow_cloud_reply *reply)
+{
+    reply->status = 200;
+    switch (request->op) {
+    case OW_CLOUD_TYPES:
+        reply->types = machine_types(cluster);
+        break;
+    case OW_CLOUD_LIST:
+        reply->listed = list_machines(cluster, request->after, &reply->has_more);
+        break;
+    case OW_CLOUD_PROVISION:
+        provision(cluster, request, reply);
+        break;
+    case OW_CLOUD_TERMINATE:
+        terminate(cluster, request->machines);
+        break;
+    }
+}
+
 void sim_cloud_handle_request(struct sim_cluster *cluster, int controller,
                               const struct ow_cloud_request *request)
 {
     struct ow_event *event = ow_event_new(OW_EVENT_CLOUD, request->tag);
-    event->cloud.status = cluster->cloud_down ? 503 : 200;
+    double after_s = 0.1;
     cluster->cloud_requests++;
     if (cluster->cloud_down) {
-        sim_deliver(cluster, controller, cluster->process_nonce[controller], 0.1, event);
-        return;
+        event->cloud.status = 503;
+    } else if (is_delayed(cluster, request->op)) {
+        delay_request(cluster, request);
+        after_s = CLOUD_TIMEOUT_S;
+    } else {
+        carry_out(cluster, request, &event->cloud);
     }
-    if (request->op == OW_CLOUD_TYPES)
-        event->cloud.types = machine_types(cluster);
-    else if (request->op == OW_CLOUD_LIST)
-        event->cloud.listed = list_machines(cluster, request->after, &event->cloud.has_more);
-    else if (request->op == OW_CLOUD_PROVISION)
-        provision(cluster, request, &event->cloud);
-    else
-        terminate(cluster, request->machines);
-    sim_deliver(cluster, controller, cluster->process_nonce[controller], 0.1, event);
+    sim_deliver(cluster, controller, cluster->process_nonce[controller], after_s, event);
 }
--- a/tests/sim/sim_cluster.c
+++ b/tests/sim/sim_cluster.c
@@ -28,6 +28,7 @@
         cluster->store_latency_controller = -1;
     cluster->run_time_s = 5;
     cluster->deliveries = g_ptr_array_new();
+    cluster->delayed_cloud_requests = g_ptr_array_new_with_free_func((GDestroyNotify)ow_cloud_request_free);
     sim_users_init(cluster);
     cluster->violations = g_string_new(NULL);
     for (int i = 0; i < SIM_CONTROLLERS; i++)
@@ -52,6 +53,7 @@
     ow_sharding_settings_free(cluster->sharding);
     sim_store_clear(cluster);
     sim_workers_clear(cluster);
+    g_ptr_array_free(cluster->delayed_cloud_requests, TRUE);
     g_ptr_array_free(cluster->deliveries, TRUE);
     sim_users_clear(cluster);
     g_string_free(cluster->violations, TRUE);
@@ -118,6 +120,7 @@
 {
     cluster->now += STEP_S;
     sim_store_step(cluster);
+    sim_cloud_step(cluster);
     sim_workers_step(cluster);
     deliver_due_events(cluster);
     for (int i = 0; i < SIM_CONTROLLERS; i++) {
--- a/tests/sim/sim_cluster.h
+++ b/tests/sim/sim_cluster.h
@@ -89,9 +89,15 @@
     unsigned store_mutations;     /**< mutations in all transactions */
 
     /* The cloud. */
-    bool cloud_down;                 /**< failure: answers every request 503 */
-    unsigned other_types;            /**< types that it lists before "big" and "gpu" */
-    bool gpu_not_offered;            /**< it does not list the type "gpu" */
+    bool cloud_down;                   /**< failure: answers every request 503 */
+    bool delay_provisions;             /**< failure: requests to provision get no answer, and are carried out
+                                        * only once it is no longer set */
+    bool delay_terminations;           /**< failure: the same for terminations */
+    GPtrArray *delayed_cloud_requests; /**< struct ow_cloud_request, owned: in flight to the cloud */
+    unsigned
+        listed_machines_max; /**< failure: the list lags, and lacks all machines after so many; 0: none */
+    unsigned other_types;    /**< types that it lists before "big" and "gpu" */
+    bool gpu_not_offered;    /**< it does not list the type "gpu" */
     unsigned provisionable_machines; /**< limit: the number of machines that can still be provisioned */
     unsigned provisioned_machines;   /**< number of machines provisioned so far */
     unsigned cloud_requests;         /**< requests of all kinds */
--- a/tests/sim/sim_internal.h
+++ b/tests/sim/sim_internal.h
@@ -82,6 +82,8 @@
 
 /* sim_cloud.c */
 
+/** Carries out the delayed requests that are no longer to be delayed. */
+void sim_cloud_step(struct sim_cluster *cluster);
 /** Executes a request to the cloud and delivers the response. */
 void sim_cloud_handle_request(struct sim_cluster *cluster, int controller,
                               const struct ow_cloud_request *request);
--- a/tests/sim/sim_machines.c
+++ b/tests/sim/sim_machines.c
@@ -114,3 +114,12 @@
     machine->awaits_response = false;
     machine->lease_renewed_at = machine->next_heartbeat_at = cluster->now;
 }
+
+void sim_reboot_machine(struct sim_cluster *cluster, struct sim_machine *machine, uint64_t fencing_token)
+{
+    g_array_set_size(machine->tasks, 0);
+    machine->incarnation++;
+    machine->fencing_token = fencing_token;
+    machine->awaits_response = false;
+    machine->lease_renewed_at = machine->next_heartbeat_at = cluster->now;
+}
--- a/tests/sim/sim_machines.h
+++ b/tests/sim/sim_machines.h
@@ -62,6 +62,9 @@
 /** Adds a machine that has booted. The type is "big" (16 CPUs) or "gpu" (8 CPUs, 2 GPUs). */
 struct sim_machine *sim_add_machine(struct sim_cluster *cluster, const char *name, const char *type,
                                     const char *zone, bool spot);
+/** The machine dies with all that is on it, and its worker is back at once with its next incarnation.
+ * @param fencing_token the highest that the worker has seen: what it remembers, or 0 if it forgets */
+void sim_reboot_machine(struct sim_cluster *cluster, struct sim_machine *machine, uint64_t fencing_token);
 /** Adds this number of machines of type "big" in one zone, named "<prefix>-0", "<prefix>-1" and so on. */
 void sim_add_group(struct sim_cluster *cluster, const char *prefix, int machines, const char *zone,
                    bool spot);
