A machine that was rebooted is fenced only once it shows the fencing token again

A machine that died and was back at once with its next incarnation, and had forgotten the fencing tokens it had seen, was still taken for fenced.

Cause: ow_machine.liveness.is_fenced outlived the incarnation in which the worker had shown the token. An older leader that is cut off could then renew the lease of that machine; the new leader took silence for the expiry of the lease, ended the attempt and started the task elsewhere, while its own launch was still on its way and could start. Class: a right kept after the evidence for it had lapsed (the same class as an action on stale knowledge).

Change: the first heartbeat of a newer incarnation that shows a lower token takes the fence away until the token is shown again, so that lease expiry, placement, the acknowledgement of cancellations and scale-in count it as any machine that has not been heard under this leader.

Why this works: every one of these rests on is_fenced, and the worker alone knows what it remembers. Machines that keep their token are not affected.

--- a/src/core/machines/heartbeat_intake.c
+++ b/src/core/machines/heartbeat_intake.c
@@ -20,12 +20,18 @@
     return heartbeat->sequence > machine->liveness.sequence;
 }
 
-/* All older incarnations are over, and the launches addressed to them can no longer take effect. */
-static void begin_incarnation(struct ow_machine *machine, uint64_t incarnation)
+/* All older incarnations are over, and the launches addressed to them can no longer take effect. A machine
+   that has died with the incarnation before may have forgotten this leader's fencing token: an older leader
+   can then renew its lease again. */
+static void begin_incarnation(const struct ow_leader *leader, struct ow_machine *machine,
+                              const struct ow_heartbeat *heartbeat)
 {
-    machine->liveness.incarnation = incarnation;
-    machine->liveness.expired_incarnation = MAX(machine->liveness.expired_incarnation, incarnation - 1);
+    machine->liveness.incarnation = heartbeat->incarnation;
+    machine->liveness.expired_incarnation =
+        MAX(machine->liveness.expired_incarnation, heartbeat->incarnation - 1);
     g_array_set_size(machine->direct.unacknowledged_launches, 0);
+    if (heartbeat->fencing_token < leader->fencing_token)
+        machine->liveness.is_fenced = false;
 }
 
 /* Applies the part of a heartbeat that is valid whichever leader's commands the worker accepts. */
@@ -33,7 +39,7 @@
                            const struct ow_heartbeat *heartbeat)
 {
     if (heartbeat->incarnation > machine->liveness.incarnation)
-        begin_incarnation(machine, heartbeat->incarnation);
+        begin_incarnation(leader, machine, heartbeat);
     /* Also if the incarnation is not new: records that were read since may name older incarnations. */
     ow_reconcile_older_incarnations(leader, machine);
     machine->listed = OW_LISTED_RUNNING;
--- a/src/core/machines/machine.h
+++ b/src/core/machines/machine.h
@@ -45,7 +45,8 @@
     uint64_t incarnation;         /**< of the newest message */
     uint64_t sequence;            /**< of the newest message */
     uint64_t expired_incarnation; /**< all incarnations up to and including this one are proven over */
-    bool is_fenced;   /**< has seen this leader's fencing token, so it rejects older leaders' commands */
+    bool is_fenced;   /**< has seen this leader's fencing token in this incarnation, so it rejects older
+                         leaders' commands */
     double fenced_at; /**< when is_fenced was set */
     uint32_t heartbeat_generation; /**< the leader's counter at the newest heartbeat: reconciliation.c */
 };
