--- a/src/io/daemon.c
+++ b/src/io/daemon.c
@@ -130,9 +130,10 @@
     struct ow_loop_load load = ow_loop_take_load(daemon->loop);
     struct ow_http_server_metrics server = ow_http_server_take_metrics(daemon->server);
     g_info("event loop load: rounds=%u saturated_rounds=%u longest_round_s=%.2f connections=%u "
-           "connections_max=%u refused_connections=%u closed_for_room=%u",
+           "connections_max=%u refused_connections=%u closed_for_room=%u buffered_bytes=%zu",
            load.rounds, load.saturated_rounds, load.longest_round_s, server.open,
-           daemon->sockets_max - daemon->client_sockets_min, server.refused, server.closed_for_room);
+           daemon->sockets_max - daemon->client_sockets_min, server.refused, server.closed_for_room,
+           server.buffered_bytes);
     ow_malformed_log_flush(daemon->malformed_log);
 }
 
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -185,10 +185,22 @@
     return server->count;
 }
 
+static size_t count_buffered_bytes(const struct ow_http_server *server)
+{
+    size_t bytes = 0;
+    for (uint32_t slot = 0; slot < server->slots->len; slot++) {
+        const struct ow_http_connection *connection = connection_at(server, slot);
+        if (connection != NULL)
+            bytes += connection->parser.body->len + connection->pending->len + connection->out->len;
+    }
+    return bytes;
+}
+
 struct ow_http_server_metrics ow_http_server_take_metrics(struct ow_http_server *server)
 {
     struct ow_http_server_metrics metrics = server->metrics;
     metrics.open = server->count;
+    metrics.buffered_bytes = count_buffered_bytes(server);
     server->metrics = (struct ow_http_server_metrics){0};
     return metrics;
 }
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -73,6 +73,7 @@
     unsigned open;            /**< now */
     unsigned refused;         /**< new ones, closed because all others were active; since the last call */
     unsigned closed_for_room; /**< idle ones, closed to make room; since the last call */
+    size_t buffered_bytes;    /**< of requests that are incomplete or wait, and of answers to be sent; now */
 };
 /** Returns the metrics, and resets those that count from the last call. */
 struct ow_http_server_metrics ow_http_server_take_metrics(struct ow_http_server *server);
--- a/tests/sockets/socket_fixture.c
+++ b/tests/sockets/socket_fixture.c
@@ -57,6 +57,14 @@
     fixture->client = ow_http_client_new(fixture->loop, 64, record_response, fixture);
 }
 
+void socket_fixture_replace_server(struct socket_fixture *fixture,
+                                   const struct ow_http_server_options *options)
+{
+    ow_http_server_free(fixture->server);
+    fixture->server = ow_http_server_new(fixture->loop, options, handle_request, fixture);
+    assert_non_null(fixture->server);
+}
+
 void socket_fixture_close(struct socket_fixture *fixture)
 {
     ow_http_client_free(fixture->client);
--- a/tests/sockets/socket_fixture.h
+++ b/tests/sockets/socket_fixture.h
@@ -28,6 +28,9 @@
 /** Starts a loop, a client and a server that answers every request with the body of the request, unless it is
  * silent. */
 void socket_fixture_open(struct socket_fixture *fixture);
+/** Replaces the server by one with other options, which must name socket_endpoint. */
+void socket_fixture_replace_server(struct socket_fixture *fixture,
+                                   const struct ow_http_server_options *options);
 /** Frees everything that socket_fixture_open() has created. */
 void socket_fixture_close(struct socket_fixture *fixture);
 /** A cmocka setup function: opens a fixture for each test. */
