Loopback: the stand-ins send unknown members with every reply and report

Every message of the stand-ins for users, workers, cloud and key-value store has unknown members in each of its objects, drawn from the seed, and its members in another order; a message that is sent again comes in other words, so that repeated submissions are retries in other words. The checker reports a sound request or report that got 400.

--- a/tests/loopback/checker.py
+++ b/tests/loopback/checker.py
@@ -160,6 +160,14 @@
                 yield f"stale order: {command} after its controller was thawed"
 
 
+def check_refusals(events: list[Event], machines: list[Event]) -> Iterator[str]:
+    """All requests of users and reports of machines are sound: none is refused as malformed."""
+    for event in events_named(events, "refused"):
+        yield f"refused: a request about {event['job']} got 400"
+    for event in events_named(machines, "refused"):
+        yield f"refused: a report of {event['machine']} got 400"
+
+
 def check(
     directory: str,
     cancel_s: float,
@@ -181,6 +189,7 @@
         *check_attempts(machines),
         *check_cancellations(events, machines, cancel_s),
         *check_jobs(events, machines),
+        *check_refusals(events, machines),
         *check_stale_orders(events, machines, is_divided),
     ]
 
--- a/tests/loopback/http_messages.py
+++ b/tests/loopback/http_messages.py
@@ -4,6 +4,8 @@
 import json
 from typing import Any, Optional
 
+import unknown_members
+
 NO_ANSWER = 0
 
 
@@ -29,7 +31,7 @@
     local_address = (source, 0) if source is not None else None
     reader, writer = await asyncio.open_connection(address, port, local_addr=local_address)
     try:
-        text = json.dumps(body).encode() if body is not None else b""
+        text = unknown_members.encode(body) if body is not None else b""
         writer.write(encode_message(f"{method} {path} HTTP/1.1", text))
         status = int((await reader.readline()).split()[1])
         return status, json.loads(await read_body(reader))
--- a/tests/loopback/http_service.py
+++ b/tests/loopback/http_service.py
@@ -6,6 +6,7 @@
 from typing import Any, Optional
 from urllib.parse import parse_qs, urlsplit
 
+import unknown_members
 from http_messages import encode_message, read_body
 
 Query = dict[str, str]
@@ -108,7 +109,7 @@
             return False
         method, target, _ = line.decode().split()
         status, answer = await self.respond(client, method, target, await read_body(reader))
-        writer.write(encode_message(f"HTTP/1.1 {status} Status", json.dumps(answer).encode()))
+        writer.write(encode_message(f"HTTP/1.1 {status} Status", unknown_members.encode(answer)))
         await writer.drain()
         return True
 
--- a/tests/loopback/planned_users.py
+++ b/tests/loopback/planned_users.py
@@ -12,7 +12,7 @@
 from plan import PlannedJob
 from users import POLL_S, REQUEST_TIMEOUT_S, RETRY_S, Job, Users
 
-STATUS_NOT_FOUND = 404
+STATUS_MALFORMED, STATUS_NOT_FOUND = 400, 404
 ACCEPTED = (200, 201)
 
 
@@ -32,6 +32,8 @@
         self.cluster.record("answer", sent=sent, kind=method, **members)
         if status == STATUS_NOT_FOUND:
             self.cluster.record("forgotten", job=job)
+        if status == STATUS_MALFORMED:
+            self.cluster.record("refused", job=job)
         return stance
 
     async def poll(self, controller: Controller, job: str) -> Optional[str]:
--- a/tests/loopback/run.py
+++ b/tests/loopback/run.py
@@ -16,6 +16,7 @@
 import time
 
 import checker
+import unknown_members
 from cluster import Cluster, Programs
 from faults import FaultInjector
 from machine import Machine
@@ -52,6 +53,7 @@
     def __init__(self, options: argparse.Namespace) -> None:
         self.options = options
         self.random = random.Random(options.seed)
+        unknown_members.seed(options.seed)
         shards = "".join(SHARDS[: options.shards]) if options.shards else None
         zones = ZONES[: max(options.shards, 1)]
         programs = Programs(options.controller, options.agent)
--- a/tests/loopback/standin_worker.py
+++ b/tests/loopback/standin_worker.py
@@ -20,7 +20,7 @@
 TICK_S = 0.1
 JITTER = 0.25
 LATE_S = (1.0, 8.0)
-STATUS_OK, STATUS_MISDIRECTED = 200, 421
+STATUS_OK, STATUS_MALFORMED, STATUS_MISDIRECTED = 200, 400, 421
 
 Body = dict[str, Any]
 
@@ -157,6 +157,8 @@
             status, answer = await self.send(self.controller, report)
         if self.faults.is_deaf:
             status, answer = http_messages.NO_ANSWER, None
+        if status == STATUS_MALFORMED:
+            self.record("refused")
         if status == STATUS_OK:
             self.handle_answer(answer, incarnation, sent_at)
         else:
--- a/tests/loopback/test_checker.py
+++ b/tests/loopback/test_checker.py
@@ -118,6 +118,13 @@
         events = [event for event in LEADERS + USERS if event["event"] != "over"]
         self.assert_violations("lost", valid_history(), events)
 
+    def test_sound_request_is_refused(self) -> None:
+        """A request of a user, or a report of a machine, got 400."""
+        events = LEADERS + USERS + [{"t": 4, "event": "refused", "job": "run-1"}]
+        self.assert_violations("refused", valid_history(), events)
+        machines = valid_history() + [{"t": 4, "event": "refused", "machine": "m-1"}]
+        self.assert_violations("refused", machines)
+
     def test_job_is_forgotten(self) -> None:
         events = LEADERS + USERS + [{"t": 4, "event": "forgotten", "job": "run-1"}]
         self.assert_violations("forgotten", valid_history(), events)
--- a/tests/loopback/users.py
+++ b/tests/loopback/users.py
@@ -2,11 +2,11 @@
 their jobs are over, and cancel some of them."""
 
 import asyncio
-import json
 import os
 import random
 from typing import Any, Optional
 
+import unknown_members
 from cluster import Cluster
 
 REQUEST_TIMEOUT_S = 2
@@ -57,8 +57,8 @@
         }
         job.update(members)
         path = os.path.join(self.cluster.directory, "jobs", f"{job['ref']}.json")
-        with open(path, "w", encoding="utf-8") as file:
-            json.dump(dict(job, command=["sleep", str(seconds)]), file)
+        with open(path, "wb") as file:
+            file.write(unknown_members.encode(dict(job, command=["sleep", str(seconds)])))
         return job
 
     async def request(self, method: str, path: str, body: Optional[Any] = None) -> tuple[int, Any]:
