--- a/src/core/api/cancellation_ack.c
+++ b/src/core/api/cancellation_ack.c
@@ -184,8 +184,7 @@
         const struct waiting_request *waiting = waiting_at(cancellation, i - 1);
         if (core->now < waiting->times_out_at)
             continue;
-        ow_job_reply_retry(core, waiting->request, OW_ANSWER_RETRY_ACKNOWLEDGEMENT,
-                           "the leader has not acknowledged the cancellation yet");
+        ow_job_reply_retry_unacknowledged(core, waiting->request);
         g_array_remove_index(cancellation->waiting_requests, i - 1);
     }
 }
--- a/src/core/api/job_reply.c
+++ b/src/core/api/job_reply.c
@@ -25,8 +25,7 @@
 void ow_job_reply_send(struct ow_core *core, uint64_t request, int status, const struct ow_job *job)
 {
     if (!may_be_shown(core, job)) {
-        ow_job_reply_retry(core, request, OW_ANSWER_RETRY_ACKNOWLEDGEMENT,
-                           "the leader has not acknowledged the cancellation yet");
+        ow_job_reply_retry_unacknowledged(core, request);
         return;
     }
     struct ow_effect *effect = ow_effect_new(OW_EFFECT_JOB, request);
@@ -47,6 +46,12 @@
     ow_core_reject_request(core, request, OW_HTTP_STATUS_UNAVAILABLE, text, RETRY_AFTER_S);
 }
 
+void ow_job_reply_retry_unacknowledged(struct ow_core *core, uint64_t request)
+{
+    ow_job_reply_retry(core, request, OW_ANSWER_RETRY_ACKNOWLEDGEMENT,
+                       "the leader has not acknowledged the cancellation yet");
+}
+
 static enum ow_answer_kind kind_of_rejection(int status)
 {
     if (status == OW_HTTP_STATUS_NOT_FOUND)
--- a/src/core/api/job_reply.h
+++ b/src/core/api/job_reply.h
@@ -19,6 +19,9 @@
  * one of OW_ANSWER_RETRY_*; `text` is the reason for the user, and is copied. */
 void ow_job_reply_retry(struct ow_core *core, uint64_t request, enum ow_answer_kind kind, const char *text);
 
+/** Like ow_job_reply_retry(), because no leader has acknowledged the job's cancellation yet. */
+void ow_job_reply_retry_unacknowledged(struct ow_core *core, uint64_t request);
+
 /** Replies with an error that a repeated request would get, too. `text` is copied. */
 void ow_job_reply_reject(struct ow_core *core, uint64_t request, int status, const char *text);
 
--- a/src/core/store_health.h
+++ b/src/core/store_health.h
@@ -16,7 +16,8 @@
 struct ow_store_health *ow_store_health_new(struct ow_core *core);
 /** Frees the state; no answer to a probe may arrive afterwards. */
 void ow_store_health_free(struct ow_store_health *health);
-/** Records a reply from the key-value store; status OW_HTTP_STATUS_NONE: no response, or one that can't be read. */
+/** Records a reply from the key-value store; status OW_HTTP_STATUS_NONE: no response, or one that can't be
+ * read. */
 void ow_store_health_note_reply(struct ow_store_health *health, const struct ow_store_reply *reply);
 /** Logs one line about the replies since the last call; nothing if there were none. */
 void ow_store_health_log_metrics(struct ow_store_health *health);
--- a/src/io/net.c
+++ b/src/io/net.c
@@ -97,7 +97,7 @@
 
 char *ow_net_peer_endpoint(int fd)
 {
-    struct sockaddr_in address;
+    struct sockaddr_in address = {.sin_family = AF_UNSPEC};
     socklen_t size = sizeof address;
     char text[INET_ADDRSTRLEN];
     if (getpeername(fd, (struct sockaddr *)&address, &size) != 0 || address.sin_family != AF_INET ||
--- a/tests/cluster/test_held_up_launch.c
+++ b/tests/cluster/test_held_up_launch.c
@@ -103,16 +103,23 @@
     release_after_cancel_time(cluster, &canceller);
 }
 
-/* The task is stopped by its cancellation, the job's final record is written, and only then the first copy of
- * the launch arrives, at a worker that must still know the attempt. */
-static void test_launch_held_up_past_the_final_record_does_not_start(void **state)
+/* One copy of the launch is held up, another one starts the task, and the job is cancelled. */
+static struct canceller hold_launch_and_cancel(struct sim_cluster *cluster)
 {
-    struct sim_cluster *cluster = *state;
     hold_launch(cluster);
     assert_true(sim_run_until(cluster, 10, sim_job_is_running, "run-1"));
     struct canceller canceller = {.id = "run-1", .controller = sim_follower(cluster)};
     sim_run_with_canceller(cluster, &canceller, 10);
     assert_told(&canceller);
+    return canceller;
+}
+
+/* The task is stopped by its cancellation, the job's final record is written, and only then the first copy of
+ * the launch arrives, at a worker that must still know the attempt. */
+static void test_launch_held_up_past_the_final_record_does_not_start(void **state)
+{
+    struct sim_cluster *cluster = *state;
+    struct canceller canceller = hold_launch_and_cancel(cluster);
     assert_int_equal(sim_job_state(cluster, "run-1"), OW_JOB_CANCELLED);
     release_after_cancel_time(cluster, &canceller);
     assert_false(sim_machine(cluster, "m-0")->deleted);
@@ -122,11 +129,7 @@
 static void test_launch_held_up_past_the_final_record_and_a_failover_does_not_start(void **state)
 {
     struct sim_cluster *cluster = *state;
-    hold_launch(cluster);
-    assert_true(sim_run_until(cluster, 10, sim_job_is_running, "run-1"));
-    struct canceller canceller = {.id = "run-1", .controller = sim_follower(cluster)};
-    sim_run_with_canceller(cluster, &canceller, 10);
-    assert_told(&canceller);
+    struct canceller canceller = hold_launch_and_cancel(cluster);
     sim_kill_controller(cluster, sim_leader(cluster));
     release_after_cancel_time(cluster, &canceller);
 }
--- a/tests/loopback/test_retries.py
+++ b/tests/loopback/test_retries.py
@@ -1,5 +1,5 @@
-"""Tests with real controllers that a submission in other words is the same job, at every controller and after a
-restart of all of them.
+"""Tests with real controllers that a submission in other words is the same job, at every controller and after
+a restart of all of them.
 
     python3 tests/loopback/test_retries.py DIRECTORY CONTROLLER AGENT
 """
--- a/tests/sim/sim_internal.h
+++ b/tests/sim/sim_internal.h
@@ -74,6 +74,23 @@
 void sim_workers_clear(struct sim_cluster *cluster);
 /** Advances the tasks of all workers and sends the heartbeats that are due. */
 void sim_workers_step(struct sim_cluster *cluster);
+/** The latency of a message between a controller and a worker, in seconds. */
+static const double SIM_WORKER_LATENCY_S = 0.01;
+/** A heartbeat that reports a change is sent within this time, in seconds. */
+static const double SIM_CHANGE_HEARTBEAT_S = 0.5;
+
+/* sim_worker_commands.c */
+
+/** Prepares for delayed commands, and frees them. */
+void sim_worker_commands_init(struct sim_cluster *cluster);
+void sim_worker_commands_clear(struct sim_cluster *cluster);
+/** Whether no message passes between the machine and the controller, in either direction. */
+bool sim_worker_is_partitioned(const struct sim_cluster *cluster, const struct sim_machine *machine,
+                               int controller);
+/** The worker executes commands (struct ow_worker_command) in their order. */
+void sim_worker_execute(struct sim_cluster *cluster, struct sim_machine *machine, const GArray *commands);
+/** Executes the delayed commands that are no longer to be delayed. */
+void sim_worker_release_commands(struct sim_cluster *cluster);
 /** Executes direct commands, or delays them; may take ownership of the commands out of the effect. */
 void sim_workers_handle_direct_commands(struct sim_cluster *cluster, int controller,
                                         struct ow_effect *effect);
--- a/tests/sockets/test_slow_connections.c
+++ b/tests/sockets/test_slow_connections.c
@@ -12,6 +12,8 @@
 enum { MEMORY_BYTES = 56 * 1024 * 1024, BUFFERS_MAX_BYTES = MEMORY_BYTES / 2, CONNECTIONS = 740 };
 /* Nearly a whole body, as large as a request may be. */
 enum { BODY_LIMIT_BYTES = 64 * 1024, HALF_SENT_BYTES = 60 * 1024 };
+/* Of the clients, the server and all else. */
+enum { DESCRIPTORS = 4 * CONNECTIONS };
 /* Closes idle connections after this time. */
 static const double IDLE_S = 0.3;
 /* A server may close a connection that has been idle for a second to make room. */
@@ -102,7 +104,7 @@
 
 int main(void)
 {
-    const struct rlimit descriptors = {4 * CONNECTIONS, 4 * CONNECTIONS};
+    const struct rlimit descriptors = {DESCRIPTORS, DESCRIPTORS};
     setrlimit(RLIMIT_NOFILE, &descriptors);
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_request_that_drips_in_is_closed_after_the_idle_time,
--- a/tests/unit/test_malformed_log.c
+++ b/tests/unit/test_malformed_log.c
@@ -1,6 +1,7 @@
 /* A message that can't be read leaves a line that tells why, at a bounded rate. */
 #include "check.h"
 #include "io/malformed_log.h"
+#include "log_capture.h"
 #include "wire/json_reader.h"
 #include "wire/submission_json.h"
 #include "wire/worker_json.h"
@@ -8,30 +9,9 @@
 #include <glib.h>
 #include <string.h>
 
-static GString *log_lines;
-
-static GLogWriterOutput capture_line(GLogLevelFlags level, const GLogField *fields, gsize count,
-                                     gpointer owner)
-{
-    (void)owner;
-    for (gsize i = 0; i < count; i++)
-        if (strcmp(fields[i].key, "MESSAGE") == 0)
-            g_string_append_printf(log_lines, "%s %s\n", level == G_LOG_LEVEL_WARNING ? "warning" : "info",
-                                   (const char *)fields[i].value);
-    return G_LOG_WRITER_HANDLED;
-}
-
-static unsigned count_lines(const char *phrase)
-{
-    unsigned count = 0;
-    for (const char *at = strstr(log_lines->str, phrase); at != NULL; at = strstr(at + 1, phrase))
-        count++;
-    return count;
-}
-
 static int setup(void **state)
 {
-    log_lines = g_string_new(NULL);
+    log_capture_clear();
     *state = ow_malformed_log_new(0);
     return 0;
 }
@@ -39,7 +19,6 @@
 static int teardown(void **state)
 {
     ow_malformed_log_free(*state);
-    g_string_free(log_lines, TRUE);
     return 0;
 }
 
@@ -58,10 +37,11 @@
 {
     note(*state, OW_INTERFACE_USER, 0);
     note(*state, OW_INTERFACE_CLOUD, 0);
-    assert_string_equal(log_lines->str, "info malformed request refused: interface=user endpoint=127.0.0.1:9 "
-                                        "bytes=468 unlogged=0 reason=\"byte 7: why\"\n"
-                                        "warning message can't be read: interface=cloud endpoint=127.0.0.1:9 "
-                                        "bytes=468 unlogged=0 reason=\"byte 7: why\"\n");
+    assert_string_equal(log_capture_lines(),
+                        "info malformed request refused: interface=user endpoint=127.0.0.1:9 "
+                        "bytes=468 unlogged=0 reason=\"byte 7: why\"\n"
+                        "warning message can't be read: interface=cloud endpoint=127.0.0.1:9 "
+                        "bytes=468 unlogged=0 reason=\"byte 7: why\"\n");
 }
 
 static void test_flood_on_one_interface_is_counted_and_hides_no_other(void **state)
@@ -69,13 +49,13 @@
     enum { MESSAGES = 10000, LINES_MAX = 20 };
     for (int i = 0; i < MESSAGES; i++)
         note(*state, OW_INTERFACE_USER, i * 0.001);
-    assert_in_range(count_lines("interface=user"), 1, LINES_MAX);
+    assert_in_range(log_capture_count("interface=user"), 1, LINES_MAX);
     note(*state, OW_INTERFACE_STORE, 10);
-    assert_int_equal(count_lines("interface=store"), 1);
+    assert_int_equal(log_capture_count("interface=store"), 1);
     ow_malformed_log_flush(*state);
-    assert_int_equal(count_lines("malformed messages: user=10000 worker=0 cloud=0 store=1"), 1);
+    assert_int_equal(log_capture_count("malformed messages: user=10000 worker=0 cloud=0 store=1"), 1);
     ow_malformed_log_flush(*state);
-    assert_int_equal(count_lines("malformed messages"), 1);
+    assert_int_equal(log_capture_count("malformed messages"), 1);
 }
 
 static void test_errors_tell_the_position_and_the_text_near_it(void **state)
@@ -111,7 +91,7 @@
 
 int main(void)
 {
-    g_log_set_writer_func(capture_line, NULL, NULL);
+    log_capture_start();
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_line_tells_interface_sender_size_and_reason, setup, teardown),
         cmocka_unit_test_setup_teardown(test_flood_on_one_interface_is_counted_and_hides_no_other, setup,
--- a/tests/unit/test_unknown_fields.c
+++ b/tests/unit/test_unknown_fields.c
@@ -31,8 +31,7 @@
     "\"x\":\"\\udc00\"",
     "\"x\":\"\\ud800\\u0041\"",
     "\"x\":\"\\udc00\\ud800\"",
-    "\"x\":\"gr\xc3\xb6\xc3\x9f"
-    "e \xe6\x97\xa5\xe6\x9c\xac\xe8\xaa\x9e \xf0\x9f\x98\x80 \x7f\"",
+    "\"x\":\"gr\xc3\xb6\xc3\237e \xe6\x97\xa5\xe6\x9c\xac\xe8\xaa\x9e \xf0\x9f\x98\x80 \x7f\"",
     /* literals, arrays and objects */
     "\"x\":null",
     "\"x\":[true,false,null]",
@@ -73,11 +72,11 @@
 static void test_submission_with_a_label_above_63_bits_is_accepted(void **state)
 {
     (void)state;
-    assert_member_is_ignored(json_interface_find("submission"),
-                             "\"x_labels\":{\"gr\xc3\xb6\xc3\x9f"
-                             "e\":\"\xe6\x97\xa5\xe6\x9c\xac\xe8\xaa\x9e \xe2\x9c\x93\","
-                             "\"n\":18446744073709551615,\"m\":-7,\"f\":1.25,\"none\":null,"
-                             "\"l\":[[],{},true],\"deep\":[[[[[]]]]]}");
+    assert_member_is_ignored(
+        json_interface_find("submission"),
+        "\"x_labels\":{\"gr\xc3\xb6\xc3\237e\":\"\xe6\x97\xa5\xe6\x9c\xac\xe8\xaa\x9e \xe2\x9c\x93\","
+        "\"n\":18446744073709551615,\"m\":-7,\"f\":1.25,\"none\":null,"
+        "\"l\":[[],{},true],\"deep\":[[[[[]]]]]}");
 }
 
 static void test_unknown_members_change_nothing(void **state)
