Optional known fields with a wrong value are refused, and not taken for absent ones

Found on reading the change again: since a number that can't be represented no longer costs the whole text, so that an optional known field with one (crest or tide of 2^64, warning_s of 1e400) passed for a missing one: a report counted as one without token, a transaction's revision as 0. Before these texts got 400 or were unreadable as a whole.

Change: optional fields are read by functions that tell missing from wrong, in heartbeats, commands, replies of cloud and store, and records of jobs.

--- a/src/wire/cloud_json.c
+++ b/src/wire/cloud_json.c
@@ -40,20 +40,27 @@
 
 /* ---- machine types ---- */
 
+/* Reads the numbers that a type may lack. */
+static bool read_optional_numbers(const json_t *object, struct ow_machine_type *type)
+{
+    if (!wire_json_get_optional_number(object, W_GPUS, &type->size.gpus) ||
+        !wire_json_get_optional_number(object, W_CACHE_GB, &type->cache_gb) ||
+        !wire_json_get_optional_number(object, W_FETCH_GB_PER_S, &type->fetch_gb_per_s) ||
+        !wire_json_get_optional_number(object, W_HOURLY_PRICE, &type->price))
+        return false;
+    type->spot_price = type->price;
+    return wire_json_get_optional_number(object, W_SPOT_HOURLY_PRICE, &type->spot_price) &&
+           wire_json_get_optional_number(object, W_BOOT_S, &type->boot_s);
+}
+
 static bool machine_type_from_json(const json_t *object, struct ow_machine_type *type)
 {
     const char *name = NULL;
     if (!wire_json_get_string(object, W_NAME, &name) ||
         !wire_json_get_number(object, W_CPUS, &type->size.cpus) ||
-        !wire_json_get_number(object, W_MEMORY_GB, &type->size.memory_gb))
+        !wire_json_get_number(object, W_MEMORY_GB, &type->size.memory_gb) ||
+        !read_optional_numbers(object, type))
         return false;
-    wire_json_get_number(object, W_GPUS, &type->size.gpus);
-    wire_json_get_number(object, W_CACHE_GB, &type->cache_gb);
-    wire_json_get_number(object, W_FETCH_GB_PER_S, &type->fetch_gb_per_s);
-    wire_json_get_number(object, W_HOURLY_PRICE, &type->price);
-    type->spot_price = type->price;
-    wire_json_get_number(object, W_SPOT_HOURLY_PRICE, &type->spot_price);
-    wire_json_get_number(object, W_BOOT_S, &type->boot_s);
     type->zones = wire_json_copy_strings(json_object_get(object, W_ZONES));
     type->name = g_strdup(name);
     return true;
@@ -153,9 +160,10 @@
     int state = wire_word_index(wire_listed_states, state_word);
     if (state < 0)
         return false;
-    wire_json_get_string(object, W_ADDRESS, &addr);
-    wire_json_get_bool(object, W_SPOT, &machine->spot);
-    wire_json_get_number(object, W_AGE_S, &machine->age_s);
+    if (!wire_json_get_optional_string(object, W_ADDRESS, &addr) ||
+        !wire_json_get_optional_bool(object, W_SPOT, &machine->spot) ||
+        !wire_json_get_optional_number(object, W_AGE_S, &machine->age_s))
+        return false;
     machine->state = (enum ow_listed_state)state;
     machine->name = g_strdup(name);
     machine->addr = g_strdup(addr);
@@ -198,8 +206,9 @@
         reply->provisioned = wire_json_copy_strings(json_object_get(object, W_MACHINES));
         return reply->provisioned != NULL;
     case OW_CLOUD_LIST:
+        if (!wire_json_get_optional_bool(object, W_MORE, &reply->has_more))
+            return false;
         reply->listed = listed_machines_from_json(object);
-        wire_json_get_bool(object, W_MORE, &reply->has_more);
         return reply->listed != NULL;
     case OW_CLOUD_TERMINATE:
         return true;
--- a/src/wire/json.c
+++ b/src/wire/json.c
@@ -152,6 +152,26 @@
     return true;
 }
 
+bool wire_json_get_optional_string(const json_t *object, const char *field, const char **out)
+{
+    return wire_json_is_absent(object, field) || wire_json_get_string(object, field, out);
+}
+
+bool wire_json_get_optional_number(const json_t *object, const char *field, double *out)
+{
+    return wire_json_is_absent(object, field) || wire_json_get_number(object, field, out);
+}
+
+bool wire_json_get_optional_count(const json_t *object, const char *field, uint64_t *out)
+{
+    return wire_json_is_absent(object, field) || wire_json_get_count(object, field, out);
+}
+
+bool wire_json_get_optional_bool(const json_t *object, const char *field, bool *out)
+{
+    return wire_json_is_absent(object, field) || wire_json_get_bool(object, field, out);
+}
+
 static bool all_strings(const json_t *array)
 {
     for (size_t i = 0; i < json_array_size(array); i++)
--- a/src/wire/json.h
+++ b/src/wire/json.h
@@ -49,6 +49,16 @@
 /** Reads a boolean. */
 bool wire_json_get_bool(const json_t *object, const char *field, bool *out);
 
+/** Reads a string that may be missing or null, which leaves *out unchanged.
+ * @return false only if the field has a value of another type; so do the three below */
+bool wire_json_get_optional_string(const json_t *object, const char *field, const char **out);
+/** Reads a finite number that may be missing or null. */
+bool wire_json_get_optional_number(const json_t *object, const char *field, double *out);
+/** Reads an integer from 0 to 2^64 - 1 that may be missing or null. */
+bool wire_json_get_optional_count(const json_t *object, const char *field, uint64_t *out);
+/** Reads a boolean that may be missing or null. */
+bool wire_json_get_optional_bool(const json_t *object, const char *field, bool *out);
+
 /** Whether a field is missing or null. */
 bool wire_json_is_absent(const json_t *object, const char *field);
 
--- a/src/wire/records_json.c
+++ b/src/wire/records_json.c
@@ -37,12 +37,14 @@
     uint64_t state = OW_JOB_QUEUED;
     bool has_state = wire_json_get_count(value, F_STATE, &state);
     *record = (struct ow_job_record){.state = (enum ow_job_state)state};
-    wire_json_get_number(value, F_ACCEPTED_AT, &record->accepted_at);
-    wire_json_get_count(value, F_LEADER_FENCING_TOKEN, &record->leader_fencing_token);
+    bool is_sound =
+        wire_json_get_optional_number(value, F_ACCEPTED_AT, &record->accepted_at) &&
+        wire_json_get_optional_count(value, F_LEADER_FENCING_TOKEN, &record->leader_fencing_token) &&
+        (has_state || wire_json_is_absent(value, F_STATE));
     const json_t *submission = json_object_get(value, F_SUBMISSION);
     if (submission != NULL)
         record->submission = wire_submission_from_json(submission, NULL);
-    return has_state ? is_final(state) : record->submission != NULL;
+    return is_sound && (has_state ? is_final(state) : record->submission != NULL);
 }
 
 char *wire_format_record_encode(unsigned format)
--- a/src/wire/store_json.c
+++ b/src/wire/store_json.c
@@ -201,13 +201,14 @@
 /* Reads the body of a reply with status 200. Returns false if it is invalid. */
 static bool read_success(enum ow_store_op op, const json_t *object, struct ow_store_reply *reply)
 {
-    wire_json_get_count(object, W_REVISION, &reply->revision);
+    if (!wire_json_get_optional_count(object, W_REVISION, &reply->revision))
+        return false;
     switch (op) {
     case OW_STORE_GET:
         return add_item(reply->items, object, W_KEY);
     case OW_STORE_LIST:
-        wire_json_get_bool(object, W_MORE, &reply->has_more);
-        return read_list(object, W_ITEMS, add_listed_item, reply->items);
+        return wire_json_get_optional_bool(object, W_MORE, &reply->has_more) &&
+               read_list(object, W_ITEMS, add_listed_item, reply->items);
     case OW_STORE_WATCH:
         return read_list(object, W_EVENTS, add_watch_event, reply->items);
     case OW_STORE_TXN:
--- a/src/wire/worker_json.c
+++ b/src/wire/worker_json.c
@@ -103,8 +103,9 @@
     if (phase < 0)
         return false;
     status->phase = (enum ow_task_phase)phase;
-    wire_json_get_string(object, W_CAUSE, &cause_word);
-    wire_json_get_bool(object, W_CHECKPOINT_SAVED, &status->saved);
+    if (!wire_json_get_optional_string(object, W_CAUSE, &cause_word) ||
+        !wire_json_get_optional_bool(object, W_CHECKPOINT_SAVED, &status->saved))
+        return false;
     int cause = wire_word_index(wire_exit_causes, cause_word);
     /* An unknown cause still shows that the attempt has ended. */
     status->cause = cause < 0 ? OW_CAUSE_ERROR : (enum ow_exit_cause)cause;
@@ -173,6 +174,17 @@
             wire_json_fail_field(W_TASKS, error));
 }
 
+/* Reads the fields that a heartbeat may lack. */
+static bool read_optional_fields(const json_t *object, struct ow_heartbeat *heartbeat, GError **error)
+{
+    if (!wire_json_get_optional_bool(object, W_SPOT, &heartbeat->spot))
+        return wire_json_fail_field(W_SPOT, error);
+    if (!wire_json_get_optional_count(object, W_FENCING_TOKEN, &heartbeat->fencing_token))
+        return wire_json_fail_field(W_FENCING_TOKEN, error);
+    return wire_json_get_optional_number(object, W_RECLAIM_NOTICE_S, &heartbeat->reclaim_notice_s) ||
+           wire_json_fail_field(W_RECLAIM_NOTICE_S, error);
+}
+
 struct ow_heartbeat *wire_heartbeat_decode(const char *text, size_t size, GError **error)
 {
     json_auto_t *object = wire_json_read_object(text, size, &heartbeat_fields, error);
@@ -181,11 +193,8 @@
     g_autoptr(ow_heartbeat) heartbeat = g_new0(struct ow_heartbeat, 1);
     heartbeat->tasks = g_array_new(FALSE, FALSE, sizeof(struct ow_task_status));
     heartbeat->reclaim_notice_s = -1;
-    if (!read_required_fields(object, heartbeat, error))
+    if (!read_required_fields(object, heartbeat, error) || !read_optional_fields(object, heartbeat, error))
         return NULL;
-    wire_json_get_bool(object, W_SPOT, &heartbeat->spot);
-    wire_json_get_count(object, W_FENCING_TOKEN, &heartbeat->fencing_token);
-    wire_json_get_number(object, W_RECLAIM_NOTICE_S, &heartbeat->reclaim_notice_s);
     return g_steal_pointer(&heartbeat);
 }
 
@@ -213,8 +222,7 @@
     if (kind < 0)
         return false;
     command->kind = (enum ow_worker_command_kind)kind;
-    wire_json_get_number(object, W_GRACE_S, &command->grace_s);
-    return true;
+    return wire_json_get_optional_number(object, W_GRACE_S, &command->grace_s);
 }
 
 static json_t *commands_to_json(const GArray *commands)
--- a/tests/unit/test_exact_counts.c
+++ b/tests/unit/test_exact_counts.c
@@ -3,6 +3,8 @@
 #include "model/store.h"
 #include "model/worker.h"
 #include "wire/json.h"
+#include "wire/progress_json.h"
+#include "wire/records_json.h"
 #include "wire/store_json.h"
 #include "wire/worker_json.h"
 
@@ -104,10 +106,31 @@
     wire_http_request_clear(&http);
 }
 
+static void test_records_keep_exact_counts(void **state)
+{
+    (void)state;
+    const char *text = "{\"e\":2,\"c\":" MAX_COUNT "}";
+    json_t *value = wire_json_parse_object(text, strlen(text), &wire_json_any_fields);
+    struct ow_job_record job;
+    assert_true(wire_job_record_decode(value, &job));
+    g_autofree char *encoded_job = wire_job_record_encode(&job);
+    assert_string_equal(encoded_job, text);
+    json_decref(value);
+    text = "{\"a\":" MAX_COUNT ",\"d\":\"\",\"l\":{\"m-0 " MAX_COUNT "\":\"3@" MAX_COUNT "\"}}";
+    value = wire_json_parse_object(text, strlen(text), &wire_json_any_fields);
+    struct ow_progress_record progress;
+    assert_true(wire_progress_record_decode(value, &progress));
+    g_autofree char *encoded_progress = wire_progress_record_encode(&progress);
+    assert_string_equal(encoded_progress, text);
+    wire_progress_record_clear(&progress);
+    json_decref(value);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_counts_are_exact_in_every_spelling),
+        cmocka_unit_test(test_records_keep_exact_counts),
         cmocka_unit_test(test_transactions_carry_exact_counts_and_values),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_known_fields.c
+++ b/tests/unit/test_known_fields.c
@@ -179,6 +179,32 @@
     }
 }
 
+/* Optional fields, too: a wrong value is not taken for an absent one. */
+static void test_optional_fields_with_wrong_values_are_refused(void **state)
+{
+    (void)state;
+    static const char *const cases[][3] = {
+        {"heartbeat", "\"crest\":41", "\"crest\":18446744073709551616"},
+        {"heartbeat", "\"crest\":41", "\"crest\":1e400"},
+        {"heartbeat", "\"warning_s\":7.5", "\"warning_s\":1e400"},
+        {"heartbeat", "\"windfall\":true", "\"windfall\":1"},
+        {"heartbeat", "\"saved\":true", "\"saved\":\"\\u0000\""},
+        {"heartbeat", "\"cause\":\"halted\"", "\"cause\":\"\\ud800\""},
+        {"commands", "\"glide_s\":10.5", "\"glide_s\":1e400"},
+        {"transaction", "\"tide\":432", "\"tide\":18446744073709551616"},
+        {"transaction", "\"tide\":432", "\"tide\":-1"},
+        {"key list", "\"tide\":431", "\"tide\":1e400"},
+        {"key list", "\"has_next\":true", "\"has_next\":1"},
+        {"machine list", "\"has_next\":true", "\"has_next\":\"\\ud800\""},
+        {"watch", "\"tide\":433", "\"tide\":18446744073709551616"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        const struct json_interface *interface = json_interface_find(cases[i][0]);
+        g_autofree char *text = replace(interface->message, cases[i][1], cases[i][2]);
+        assert_refused(interface, text, strlen(text));
+    }
+}
+
 static void test_spellings_of_one_value_are_the_same(void **state)
 {
     (void)state;
@@ -223,6 +249,7 @@
         cmocka_unit_test(test_second_values_are_refused),
         cmocka_unit_test(test_repeated_known_fields_are_malformed),
         cmocka_unit_test(test_known_fields_with_wrong_values_are_named),
+        cmocka_unit_test(test_optional_fields_with_wrong_values_are_refused),
         cmocka_unit_test(test_spellings_of_one_value_are_the_same),
         cmocka_unit_test(test_escaped_strings_are_decoded),
     };
--- a/tests/unit/test_unknown_fields.c
+++ b/tests/unit/test_unknown_fields.c
@@ -32,6 +32,8 @@
     "\"x\":\"\\ud800\\u0041\"",
     "\"x\":\"\\udc00\\ud800\"",
     "\"x\":\"gr\xc3\xb6\xc3\237e \xe6\x97\xa5\xe6\x9c\xac\xe8\xaa\x9e \xf0\x9f\x98\x80 \x7f\"",
+    "\"x\":\"\xef\xbf\xbf \xe2\x80\xa8 \xf4\x8f\xbf\xbf \\uFFFF \\uDBFF\\uDFFF\"",
+    "\"x\":[1e007,0.10E-00]",
     /* literals, arrays and objects */
     "\"x\":null",
     "\"x\":[true,false,null]",
