--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -4,6 +4,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -355,7 +356,7 @@
         self.prefix, self.reservation = reserve_prefix()
         self.links = Links()
         self.state = State(site["state"])
-        self.controllers, self.machines = [], []
+        self.controllers, self.machines, self.workers = [], [], []  # workers: stand-ins
         self.started_at = time.monotonic()
         self.lines = []
         self.log = open(os.path.join(self.directory, "log"), "ab")
@@ -455,9 +456,10 @@
             raise Refusal(503, {"error": "no capacity"})
         if path == "/rentals":
             page = [
-                {"ref": m.name, "addr": f"{m.address}:{WORKER + 1}", "breed": m.breed, "range": m.zone, "windfall": False,
+                {"ref": m.name, "addr": f"{m.address}:{port}", "breed": m.breed, "range": m.zone, "windfall": False,
                  "stance": "running", "age_s": time.monotonic() - m.created_at}
-                for m in self.machines if m.name > query.get("since", "")
+                for m, port in [(m, WORKER + 1) for m in self.machines] + [(m, WORKER) for m in self.workers]
+                if m.name > query.get("since", "")
             ]
             return {"perches": page, "has_next": False}
         raise Refusal(404)
@@ -499,6 +501,24 @@
             file.write(f"verdict: {verdict}\n")
 
 
+def machine_of(world, job):
+    """The machine whose agent is an ancestor of the process that runs a task of the job."""
+    agents = {machine.process.pid: machine for machine in world.machines}
+    for entry in os.listdir("/proc"):
+        try:
+            with open(f"/proc/{entry}/environ", "rb") as file:
+                is_task = f"OSPREYWELL_JOB={job}".encode() in file.read().split(b"\0")
+            process = int(entry) if is_task else 0
+            while process > 1 and process not in agents:
+                with open(f"/proc/{process}/stat", encoding="utf-8") as file:
+                    process = int(file.read().rpartition(")")[2].split()[1])
+            if process in agents:
+                return agents[process]
+        except (OSError, ValueError):
+            pass
+    raise CannotRun("the task's machine is not known")
+
+
 async def until(condition, within_s, what):
     """Waits until a condition holds; the case can't run if it does not."""
     deadline = time.monotonic() + within_s
@@ -559,3 +579,110 @@
     }
     job.update(members)
     return job
+
+
+# ---- a worker ----
+
+
+class Worker:
+    """A stand-in of a worker, as PROTOCOL describes it; its tasks run for the seconds of their job."""
+
+    def __init__(self, world, number, breed, zone, seconds=60.0):
+        self.world, self.breed, self.zone, self.seconds = world, breed, zone, seconds
+        self.name, self.address = f"n-{number + 1:06}", f"{world.prefix}.2.{number + 1}"
+        self.created_at = time.monotonic()
+        self.stint, self.chirp, self.crest = 1, 0, 0
+        self.tasks = {}  # (talon, dive) -> [stance, cause, begun at]
+        self.renewed_at = time.monotonic()
+        self.node = number % len(world.controllers)
+        self.changed = False
+        self.answers = []  # (time, controller, status, crest, calls)
+        self.tokens = []  # (time, crest): when a higher token was seen
+
+    async def start(self):
+        """Starts to serve commands and to report."""
+        await serve(self.address, WORKER, self.handle)
+        loop = asyncio.get_running_loop()
+        loop.create_task(self.report())
+        loop.create_task(self.advance())
+
+    def body(self):
+        """The next report."""
+        self.chirp += 1
+        talons = [
+            {"talon": talon, "dive": dive, "stance": stance, **({"cause": cause} if cause else {})}
+            for (talon, dive), (stance, cause, _) in self.tasks.items()
+        ]
+        return {"perch": self.name, "addr": f"{self.address}:{WORKER}", "breed": self.breed, "range": self.zone,
+                "windfall": False, "stint": self.stint, "chirp": self.chirp, "crest": self.crest, "warning_s": None,
+                "talons": talons}
+
+    async def handle(self, method, path, _query, body):
+        """Serves direct commands."""
+        if path != "/commands":
+            return self.body()
+        if body["crest"] < self.crest or body["stint"] != self.stint:
+            raise Refusal(409, self.body())
+        self.execute(body["crest"], body["calls"], "direct")
+        return self.body()
+
+    def execute(self, crest, calls, via):
+        """Executes commands in order."""
+        if crest > self.crest:
+            self.crest, self.changed = crest, True
+            self.tokens.append((time.monotonic(), crest))
+            self.world.record(f"{self.name} sees token {crest} ({via})")
+        for call in calls:
+            self.changed = True
+            key = (call["talon"], call["dive"])
+            if call["call"] == "launch" and key not in self.tasks:
+                busy = any(t == key[0] and task[0] != "exited" for (t, _), task in self.tasks.items())
+                self.tasks[key] = ["exited", "busy", 0] if busy else ["running", None, time.monotonic()]
+                self.world.record(f"{self.name} starts {key[0]} attempt {key[1]} ({via}, token {crest})")
+            elif call["call"] == "stop" and key in self.tasks and self.tasks[key][0] != "exited":
+                self.tasks[key][:2] = ["exited", "halted"]
+                self.world.record(f"{self.name} stops {key[0]} attempt {key[1]} ({via}, token {crest})")
+            elif call["call"] == "clear" and key in self.tasks and self.tasks[key][0] == "exited":
+                del self.tasks[key]
+
+    async def advance(self):
+        """Ends tasks, and the session when the lease is over."""
+        while True:
+            now = time.monotonic()
+            if now > self.renewed_at + self.world.site["workers"]["lease_s"]:
+                self.world.record(f"{self.name}: the lease of session {self.stint} is over")
+                self.tasks.clear()
+                self.stint, self.renewed_at, self.changed = self.stint + 1, now, True
+            for key, task in self.tasks.items():
+                if task[0] == "running" and now > task[2] + self.seconds:
+                    task[:2] = ["exited", "done"]
+                    self.changed = True
+                    self.world.record(f"{self.name} completes {key[0]} attempt {key[1]}")
+            await asyncio.sleep(0.05)
+
+    async def report(self):
+        """Reports to one controller at a time."""
+        names = [c.name for c in self.world.controllers]
+        report_s = self.world.site["workers"]["report_s"]
+        while True:
+            controller, stint, sent_at = self.world.controllers[self.node], self.stint, time.monotonic()
+            self.changed = False
+            status, answer = await ask(controller.address, FRONT, "POST", "/hello", self.body(), 4)
+            answer = answer or {}
+            crest, calls = answer.get("crest", 0), answer.get("calls", [])
+            self.answers.append((time.monotonic(), controller.name, status, crest, len(calls)))
+            if status == 200:
+                if crest >= self.crest and crest > 0 and stint == self.stint:
+                    self.renewed_at = max(self.renewed_at, sent_at)
+                    self.execute(crest, calls, f"answer of {controller.name}")
+            elif status == 421 and answer.get("eyrie") in names and answer["eyrie"] != controller.name:
+                self.node = names.index(answer["eyrie"])
+                await asyncio.sleep(random.uniform(0, 0.5))
+                continue
+            else:
+                self.node = (self.node + 1) % len(names)
+                await asyncio.sleep(1)
+                continue
+            due = sent_at + report_s * random.uniform(0.75, 1.25)
+            while time.monotonic() < due and not (self.changed and time.monotonic() > sent_at + 0.5):
+                await asyncio.sleep(0.05)
