Let the stand-ins of the review end a machine with all that runs on it

Need: a machine that the cloud deletes takes everything on it along, also work that its agent no longer knows.

--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -322,6 +322,19 @@
         return re.search(r'^run = "(.*)"$', file.read(), re.MULTILINE).group(1).split()
 
 
+def processes_with(variable):
+    """The processes whose environment has a variable, given as NAME=VALUE."""
+    found = []
+    for entry in os.listdir("/proc"):
+        try:
+            with open(f"/proc/{entry}/environ", "rb") as file:
+                if entry.isdigit() and variable.encode() in file.read().split(b"\0"):
+                    found.append(int(entry))
+        except OSError:
+            pass
+    return found
+
+
 class Host:
     """A machine or controller with its process."""
 
@@ -330,11 +343,15 @@
         self.created_at = time.monotonic()
         self.process = None
 
+    def mark(self):
+        """What the environment of all processes on this host has."""
+        return f"REVIEW_HOST={self.address}"
+
     def start(self, log):
         """Starts the process."""
         self.process = subprocess.Popen(
             self.command, cwd=REPOSITORY, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-            env=dict(os.environ, LOG_LEVEL="info"),
+            env=dict(os.environ, LOG_LEVEL="info", REVIEW_HOST=self.address),
         )
 
     def kill(self):
@@ -343,6 +360,16 @@
             self.process.kill()
             self.process.wait()
 
+    def end(self):
+        """Ends the host: the process, and everything else that was started on it."""
+        self.kill()
+        for _ in range(3):
+            for process in processes_with(self.mark()):
+                try:
+                    os.kill(process, signal.SIGKILL)
+                except ProcessLookupError:
+                    pass
+
 
 class World:
     """Controllers, agents, state service, cloud and the record of a case."""
@@ -360,7 +387,6 @@
         self.started_at = time.monotonic()
         self.lines = []
         self.log = open(os.path.join(self.directory, "log"), "ab")
-        self.clean_ups = []  # called after the agents were killed
 
     def record(self, text):
         """Adds a line to the record."""
@@ -435,10 +461,7 @@
     def stop(self):
         """Ends all processes that the case has started."""
         for host in self.controllers + self.machines:
-            host.kill()
-        time.sleep(0.5)  # the supervisors of a dead agent end their tasks
-        for clean_up in self.clean_ups:
-            clean_up()
+            host.end()
 
     # -- the cloud --
 
@@ -449,7 +472,7 @@
         if path == "/rentals/delete":
             for machine in [m for m in self.machines if m.name in body["perches"]]:
                 self.record(f"the cloud deletes {machine.name}")
-                machine.kill()
+                machine.end()  # "the machines and everything on them are gone"
                 self.machines.remove(machine)
             return {}
         if path == "/rentals" and method == "POST":
@@ -502,20 +525,11 @@
 
 
 def machine_of(world, job):
-    """The machine whose agent is an ancestor of the process that runs a task of the job."""
-    agents = {machine.process.pid: machine for machine in world.machines}
-    for entry in os.listdir("/proc"):
-        try:
-            with open(f"/proc/{entry}/environ", "rb") as file:
-                is_task = f"OSPREYWELL_JOB={job}".encode() in file.read().split(b"\0")
-            process = int(entry) if is_task else 0
-            while process > 1 and process not in agents:
-                with open(f"/proc/{process}/stat", encoding="utf-8") as file:
-                    process = int(file.read().rpartition(")")[2].split()[1])
-            if process in agents:
-                return agents[process]
-        except (OSError, ValueError):
-            pass
+    """The machine on which a process runs a task of the job."""
+    processes = processes_with(f"OSPREYWELL_JOB={job}")
+    for machine in world.machines:
+        if set(processes) & set(processes_with(machine.mark())):
+            return machine
     raise CannotRun("the task's machine is not known")
 
 
