--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -186,6 +186,7 @@
 
     async def handle(self, method, path, query, body):
         """Handles a request."""
+        await asyncio.sleep(self.limits.get("latency_s", 0))
         if self.is_down:
             raise Refusal(503)
         self.take(self.requests, self.limits["rps"], 1)
@@ -433,7 +434,9 @@
         for team in site["teams"]:
             text += "[[params.teams]]\n" + "".join(f"{k} = {json.dumps(v)}\n" for k, v in team.items())
         for name in ("workers", "state", "cloud", "quota"):
-            text += f"[params.{name}]\n" + "".join(f"{k} = {json.dumps(v)}\n" for k, v in site[name].items())
+            text += f"[params.{name}]\n" + "".join(
+                f"{k} = {json.dumps(v)}\n" for k, v in site[name].items() if k != "latency_s"
+            )
         return text
 
     async def add_machine(self, number, breed, zone):
@@ -571,7 +574,7 @@
         {"name": "ledgerkeep", "cpus": 0.0, "cpus_max": 0.0, "gpus": 8.0, "gpus_max": 16.0},
     ],
     "workers": {"report_s": 3.0, "lease_s": 20.0, "gang_wait_s": 45.0, "gang_peer_s": 6.0, "cancel_s": 40.0},
-    "state": {"rps": 250.0, "write_rps": 100.0, "value_kb": 16.0, "txn_ops": 48},
+    "state": {"rps": 250.0, "write_rps": 100.0, "value_kb": 16.0, "txn_ops": 48, "latency_s": 0.002},
     "cloud": {"rps": 5.0, "list_lag_s": 10.0},
     "quota": {"core_share": 0.16, "memory_mb": 104.0, "sockets": 2000},
     "types": {
@@ -582,6 +585,19 @@
     },
 }
 
+TEMIZYOL_OPS_FLEET = {
+    "zones": ["antalya-a", "izmir-b", "istanbul-c", "bodrum-d"],
+    "teams": [{"name": "ops", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}],
+    "workers": {"report_s": 3.0, "lease_s": 20.0, "gang_wait_s": 35.0, "gang_peer_s": 4.0, "cancel_s": 40.0},
+    "state": {"rps": 150.0, "write_rps": 30.0, "value_kb": 8.0, "txn_ops": 8, "latency_s": 0.005},
+    "cloud": {"rps": 4.0, "list_lag_s": 10.0},
+    "quota": {"core_share": 0.168, "memory_mb": 98.0, "sockets": 1421},
+    "types": {
+        "yavru": {"cores": 16, "gpus": 2, "ram_gb": 128, "cache_gb": 60, "pull_gb_per_s": 1.0, "hourly": 7.46,
+                  "low_price": 2.05, "boot_s": 25},
+    },
+}
+
 
 def lantern(ref, **members):
     """A job of the class `lantern` of the site ner-registry."""
@@ -612,6 +628,7 @@
         self.changed = False
         self.answers = []  # (time, controller, status, crest, calls)
         self.tokens = []  # (time, crest): when a higher token was seen
+        self.connection = None  # to the node that it reports to: node, reader and writer
 
     async def start(self):
         """Starts to serve commands and to report."""
@@ -674,6 +691,31 @@
                     self.world.record(f"{self.name} completes {key[0]} attempt {key[1]}")
             await asyncio.sleep(0.05)
 
+    async def send(self, controller):
+        """Sends a report over the connection to a controller, which stays open; status 0: no answer within 4 s."""
+        if self.connection is not None and self.connection[0] is not controller:
+            self.close()
+        try:
+            return await asyncio.wait_for(self.exchange(controller), 4)
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError, TypeError, IndexError):
+            self.close()
+            return 0, {}
+
+    def close(self):
+        """Closes the connection."""
+        if self.connection is not None:
+            self.connection[2].close()
+            self.connection = None
+
+    async def exchange(self, controller):
+        """A report and its answer."""
+        if self.connection is None:
+            self.connection = (controller, *await asyncio.open_connection(controller.address, FRONT))
+        _, reader, writer = self.connection
+        writer.write(message("POST /hello HTTP/1.1", self.body()))
+        first, text = await read_message(reader)
+        return int(first.split()[1]), json.loads(text) if text else {}
+
     async def report(self):
         """Reports to one controller at a time."""
         names = [c.name for c in self.world.controllers]
@@ -681,8 +723,7 @@
         while True:
             controller, stint, sent_at = self.world.controllers[self.node], self.stint, time.monotonic()
             self.changed = False
-            status, answer = await ask(controller.address, FRONT, "POST", "/hello", self.body(), 4)
-            answer = answer or {}
+            status, answer = await self.send(controller)
             crest, calls = answer.get("crest", 0), answer.get("calls", [])
             self.answers.append((time.monotonic(), controller.name, status, crest, len(calls)))
             if status == 200:
